--- /dev/null
+++ b/spoolcourse/control/fleet/roster.py
@@ -0,0 +1,340 @@
+"""The leader's workers: what their reports prove, and what they are told.
+
+Starts travel in report responses only. A worker has one report in flight, executes a
+response within its time-out or never, and drops it in a later session; so the next
+newer report under our baton tells for certain whether a start arrived.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from spoolcourse.control.jobs.works import Attempt, Works
+from spoolcourse.control.leadership.election import DRIFT
+from spoolcourse.wire.messages import Piece, Report, piece_name, split_piece
+
+log = logging.getLogger(__name__)
+
+ORDERS_MAX = 300  # per response, well below 64 KiB
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    """A machine as the leader knows it. Unknown things are None."""
+
+    id: str
+    since: float  # when this node first heard of it
+    build: str | None = None
+    yard: str | None = None
+    loaner: bool | None = None
+    address: str = ""
+    shift: int = 0
+    tick: int = -1
+    confirmed: bool = False  # has reported our baton in this session
+    heard_at: float | None = None  # a report of any kind
+    answered_at: float | None = None  # a 200 of ours, which may have renewed its lease
+    silent_proof: bool = False  # its lease has run out since our last answer
+    listed_at: float | None = None
+    listed: str | None = None  # its stage in the cloud's list
+    rented_at: float | None = None
+    up_at: float | None = None  # when it is expected, while it boots
+    recall_at: float | None = None
+    leaving: bool = False  # to be returned: gets no new work
+    deleting: bool = False  # a deletion has been asked for
+    idle_since: float | None = None
+    errors: set[str] = field(default_factory=set)  # jobs that failed here
+    refuse_until: float = 0.0  # a start was refused for lack of room
+    attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
+    strays: set[tuple[str, int, int]] = field(default_factory=set)  # ours no longer, still there
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)  # seen cached, by use
+    pulling: dict[str, float] = field(default_factory=dict)  # image: since when
+
+    @property
+    def placeable(self) -> bool:
+        return (
+            self.confirmed
+            and not self.leaving
+            and not self.deleting
+            and not self.silent_proof
+            and self.recall_at is None
+            and self.build is not None
+        )
+
+
+class Roster:
+    """All machines of the term."""
+
+    def __init__(
+        self,
+        works: Works,
+        term: int,
+        lease_s: float,
+        clock: Callable[[], float],
+        may_start: Callable[[], bool],
+        gone_for_good: Callable[[str], bool],
+        on_room: Callable[[], None],
+    ) -> None:
+        self.works = works
+        self.term = term
+        self._lease_s = lease_s
+        self._clock = clock
+        self._may_start = may_start
+        self._over = gone_for_good
+        self._on_room = on_room
+        self.machines: dict[str, Machine] = {}
+        self.buried: OrderedDict[str, None] = OrderedDict()  # names never come back
+        self.disk_gb: Callable[[str], float] = lambda build: 0.0
+
+    def machine(self, name: str) -> Machine:
+        machine = self.machines.get(name)
+        if machine is None:
+            machine = self.machines[name] = Machine(name, self._clock())
+        return machine
+
+    def link(self, attempt: Attempt) -> None:
+        machine = self.machine(attempt.machine)
+        machine.attempts[attempt.work.id, attempt.piece] = attempt
+        machine.idle_since = None
+
+    def drop(self, attempt: Attempt) -> None:
+        machine = self.machines.get(attempt.machine)
+        if machine is not None:
+            key = (attempt.work.id, attempt.piece)
+            if machine.attempts.get(key) is attempt:
+                del machine.attempts[key]
+        self.works.drop(attempt)
+        self._on_room()
+
+    def gone(self, name: str) -> None:
+        """The cloud has confirmed that the machine and all on it are gone."""
+        self.buried[name] = None
+        while len(self.buried) > 5000:
+            self.buried.popitem(last=False)
+        machine = self.machines.pop(name, None)
+        if machine is not None:
+            for attempt in list(machine.attempts.values()):
+                self.drop(attempt)
+
+    def expire(self) -> None:
+        """Silence alone proves nothing. A lease proves an end only for a worker that has
+        reported our baton in this session: nobody else's answer can have renewed it."""
+        now = self._clock()
+        margin = self._lease_s * (1 + DRIFT) + 1.0
+        for machine in self.machines.values():
+            if (
+                machine.confirmed
+                and not machine.silent_proof
+                and machine.answered_at is not None
+                and now - machine.answered_at > margin
+            ):
+                log.info("%s: silent, its lease has run out", machine.id)
+                machine.silent_proof = True
+                machine.strays.clear()
+                for attempt in list(machine.attempts.values()):
+                    self.drop(attempt)
+
+    # -- reports ------------------------------------------------------------------
+
+    def accept(self, report: Report) -> list[dict[str, Any]]:
+        """Take in a report that carries no higher baton than ours; the orders to answer."""
+        now = self._clock()
+        if report.spindle in self.buried:
+            return []  # held on the way while its machine was deleted
+        machine = self.machine(report.spindle)
+        machine.heard_at = now
+        machine.answered_at = now
+        if (report.shift, report.tick) <= (machine.shift, machine.tick):
+            return []  # a late copy: it changes nothing and gets no orders
+        self.learn(machine, report)
+        if report.baton != self.term:
+            # Older orders may still reach it. Our baton in the answer ends that, and its
+            # next report tells what is there.
+            return []
+        return self._orders(machine, report, now)
+
+    def observe(self, report: Report) -> None:
+        """Take in a report that came as the answer to `/orders` or `/show`."""
+        if report.spindle in self.buried:
+            return
+        machine = self.machine(report.spindle)
+        if (report.shift, report.tick) > (machine.shift, machine.tick):
+            self.learn(machine, report)
+
+    def learn(self, machine: Machine, report: Report) -> None:
+        now = self._clock()
+        if report.shift != machine.shift:
+            machine.confirmed = False
+        machine.shift, machine.tick = report.shift, report.tick
+        machine.build, machine.yard = report.build, report.yard
+        machine.loaner, machine.address = report.loaners, report.address
+        machine.up_at = None
+        machine.silent_proof = False
+        if report.recallS is not None:
+            machine.recall_at = now + max(report.recallS, 0.0)
+        else:
+            machine.recall_at = None
+        if report.baton == self.term:
+            if not machine.confirmed:
+                machine.confirmed = True
+                log.debug("%s: confirmed in session %d", machine.id, report.shift)
+                self._on_room()
+            self._reconcile(machine, report, now)
+
+    def _reconcile(self, machine: Machine, report: Report, now: float) -> None:
+        """A report under our baton is proof of what is on the machine, and what is not."""
+        stamp = (report.shift, report.tick)
+        present: set[tuple[str, int]] = set()
+        machine.strays.clear()
+        for item in report.pieces:
+            job, piece = split_piece(item.piece)
+            attempt = machine.attempts.get((job, piece))
+            if attempt is not None and attempt.number == item.attempt:
+                present.add((job, piece))
+                self._progress(machine, attempt, item, now)
+            else:
+                self._stray(machine, job, piece, item, now)
+        for key, attempt in list(machine.attempts.items()):
+            if key in present:
+                continue
+            if attempt.stage == "assigned" and (attempt.sent is None or attempt.sent < stamp):
+                attempt.sent = None  # that start never arrived and can't any more
+                if attempt.work.record.aborted:
+                    self.drop(attempt)
+            elif attempt.stage != "assigned":
+                log.info("%s/%d: no longer on %s", *key, machine.id)
+                self.drop(attempt)
+        machine.pulling = {
+            image: machine.pulling.get(image, now)
+            for image in {
+                a.work.record.sub.bundle for a in machine.attempts.values() if a.stage == "pulling"
+            }
+            if image not in machine.images
+        }
+        if machine.attempts:
+            machine.idle_since = None
+        elif machine.idle_since is None:
+            machine.idle_since = now
+
+    def _progress(self, machine: Machine, attempt: Attempt, item: Piece, now: float) -> None:
+        work, sub = attempt.work, attempt.work.record.sub
+        attempt.seen = True
+        if item.stage != "ended":
+            if item.stage != attempt.stage:
+                attempt.stage, attempt.since = item.stage, now
+            if item.stage in ("running", "flushing"):
+                self._cached(machine, sub.bundle, sub.pullGb)
+                machine.errors.discard(work.id)
+            return
+        cause = item.cause or ""
+        if cause == "done":
+            self._cached(machine, sub.bundle, sub.pullGb)
+            work.failures = 0
+            self.works.complete(work, attempt.piece)
+        elif cause == "error":
+            work.failures += 1
+            work.bad_machines.add(machine.id)
+            machine.errors.add(work.id)
+            # A job with a mistake fails everywhere: let it not eat up the machines.
+            if work.failures >= 3:
+                work.retry_at = now + min(60.0, 2.0 ** min(work.failures - 2, 6))
+            log.info("%s/%d: failed on %s", work.id, attempt.piece, machine.id)
+        elif cause == "no_room":
+            machine.refuse_until = now + 2.0
+            log.info("%s/%d: no room on %s", work.id, attempt.piece, machine.id)
+        elif cause in ("in_use", "no_such"):
+            work.retry_at = now + 2.0
+            log.info("%s/%d: %s on %s", work.id, attempt.piece, cause, machine.id)
+        self.drop(attempt)
+
+    def _stray(self, machine: Machine, job: str, piece: int, item: Piece, now: float) -> None:
+        """Something on the machine that is not the attempt we count there."""
+        work = self.works.jobs.get(job)
+        if work is not None and piece < work.record.sub.pieces:
+            if item.stage == "ended":
+                if item.cause == "done":
+                    self.works.complete(work, piece)
+                    other = work.attempts.get(piece)
+                    if other is not None:
+                        other.halting = True
+                return
+            if piece not in work.attempts and not work.is_done(piece) and not work.record.aborted:
+                # It runs and nobody else does: keep it.
+                attempt = self.works.adopt(work, piece, machine.id, item.attempt, now)
+                attempt.stage, attempt.seen = item.stage, True
+                machine.attempts[job, piece] = attempt
+                return
+        if item.stage != "ended":
+            machine.strays.add((job, piece, item.attempt))
+
+    @staticmethod
+    def _gone(images: OrderedDict[str, float], room: float) -> None:
+        while len(images) > 1 and sum(images.values()) > room:
+            images.popitem(last=False)
+
+    def _cached(self, machine: Machine, image: str, size: float) -> None:
+        if next(reversed(machine.images), None) == image:
+            return
+        machine.images[image] = size
+        machine.images.move_to_end(image)
+        self._gone(machine.images, self.disk_gb(machine.build or ""))
+
+    # -- orders -------------------------------------------------------------------
+
+    def _orders(self, machine: Machine, report: Report, now: float) -> list[dict[str, Any]]:
+        orders: list[dict[str, Any]] = []
+        for item in report.pieces:
+            job, piece = split_piece(item.piece)
+            if item.stage == "ended":
+                if self._may_reap(job, piece, item):
+                    orders.append({"verb": "reap", "piece": item.piece, "try": item.attempt})
+                continue
+            grace = self._halt(machine, job, piece, item)
+            if grace is not None:
+                orders.append(
+                    {
+                        "verb": "halt",
+                        "piece": item.piece,
+                        "try": item.attempt,
+                        "windDownS": grace,
+                    }
+                )
+        if self._may_start() and machine.placeable:
+            stamp = (report.shift, report.tick)
+            for attempt in machine.attempts.values():
+                if len(orders) >= ORDERS_MAX:
+                    break
+                if attempt.stage == "assigned" and self._startable(attempt):
+                    attempt.sent = stamp
+                    name = piece_name(attempt.work.id, attempt.piece)
+                    orders.append({"verb": "start", "piece": name, "try": attempt.number})
+        return orders[:ORDERS_MAX]
+
+    @staticmethod
+    def _startable(attempt: Attempt) -> bool:
+        return attempt.saved and not attempt.halting and not attempt.work.record.aborted
+
+    def _may_reap(self, job: str, piece: int, item: Piece) -> bool:
+        """A result is forgotten by the worker only once it is durable here."""
+        work = self.works.jobs.get(job)
+        if work is None:
+            return self._over(job)
+        if piece >= work.record.sub.pieces or item.cause != "done":
+            return True
+        chunk = work.chunk(piece)
+        return work.is_done(piece) and chunk.saved == chunk.version
+
+    def _halt(self, machine: Machine, job: str, piece: int, item: Piece) -> float | None:
+        """The grace to stop with, or None to let it go on."""
+        work = self.works.jobs.get(job)
+        if work is None:
+            return 0.0 if self._over(job) else None
+        if work.record.aborted or (job, piece, item.attempt) in machine.strays:
+            return 0.0
+        attempt = machine.attempts.get((job, piece))
+        if attempt is not None and attempt.halting and item.stage != "flushing":
+            return work.record.sub.markCostS + 1.0 if work.record.sub.markEveryS else 0.0
+        return None
--- /dev/null
+++ b/spoolcourse/control/intake/api.py
@@ -0,0 +1,181 @@
+"""The users' interface, the same on every node.
+
+Nothing is answered from memory alone unless it can't change any more: a 201 and a
+cancellation follow their conditional write, a 404 a consistent read, and any state
+that is not final a sync. A node that alone lost the state service asks a peer, one hop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import unquote, urlsplit
+
+from spoolcourse.control.intake.checks import refusal, usable_builds
+from spoolcourse.control.jobs.book import Book
+from spoolcourse.control.net import Net, NetError, Reply, Request
+from spoolcourse.control.store.client import Refused, StoreClient, Unclear
+from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.wire.messages import (
+    JOB_ID,
+    Build,
+    Malformed,
+    Submission,
+    decode,
+    parse_submission,
+)
+from spoolcourse.wire.settings import Params, Seed
+
+log = logging.getLogger(__name__)
+
+PATH = "/submissions"
+
+
+class Unable(Exception):
+    """This node can't answer for sure just now."""
+
+
+def later(why: str, after: int = 1) -> Reply:
+    return Reply(503, {"error": why}, {"Retry-After": str(after)})
+
+
+class Intake:
+    def __init__(
+        self,
+        book: Book,
+        mirror: Mirror,
+        client: StoreClient,
+        net: Net,
+        seeds: list[Seed],
+        params: Params,
+        builds: Callable[[], dict[str, Build]],
+        wall: Callable[[], float],
+        foreman: Callable[[], str | None],
+    ) -> None:
+        self._book = book
+        self._mirror = mirror
+        self._client = client
+        self._net = net
+        self._seeds = seeds
+        self._params = params
+        self._builds = builds
+        self._wall = wall
+        self._foreman = foreman
+
+    async def handle(self, request: Request, hop: bool = False) -> Reply:
+        """`hop`: the request comes from a peer and goes no further."""
+        path = unquote(urlsplit(request.path).path)
+        parts = path.split("/")[2:]
+        try:
+            async with asyncio.timeout(3.0):
+                if not parts and request.method == "POST":
+                    return await self._submit(request.body)
+                if len(parts) == 1 and parts[0] and request.method == "GET":
+                    return await self._poll(parts[0])
+                if len(parts) == 2 and parts[1] == "withdraw" and request.method == "POST":
+                    return await self._withdraw(parts[0])
+        except (Unable, Refused, Unclear, TimeoutError) as exc:
+            log.debug("%s %s: %s", request.method, path, exc)
+            return later("try again") if hop else await self._pass_on(request)
+        return Reply(404, {"error": "no such resource"})
+
+    async def _pass_on(self, request: Request) -> Reply:
+        """Perhaps only this node lost the state service: a peer may still be served."""
+        foreman = self._foreman()
+        for seed in sorted(self._seeds, key=lambda s: s.label != foreman):
+            try:
+                reply = await self._net.call(
+                    seed.endpoint, request.method, request.path, request.body or None, timeout=1.0
+                )
+            except NetError:
+                continue
+            if reply.status < 500 and reply.status != 429:
+                if reply.status == 200 and isinstance(reply.data, dict):
+                    self._note(reply.data)
+                return Reply(reply.status, reply.data)
+        return later("try again")
+
+    def _note(self, answer: dict[str, Any]) -> None:
+        if answer.get("stage") in ("done", "aborted") and isinstance(answer.get("id"), str):
+            self._book.remember_final(answer["id"], answer)
+
+    async def _sync(self) -> None:
+        if not await self._mirror.sync(1.2):
+            raise Unable("no sync")
+
+    async def _known(self, job: str) -> dict[str, Any] | None:
+        """The job's current state for certain; None if it was never accepted."""
+        final = self._book.final(job)
+        if final is not None:
+            return final
+        await self._sync()
+        return self._book.current(job) or await self._book.look_up(job)
+
+    async def _submit(self, raw: bytes) -> Reply:
+        try:
+            sub = parse_submission(raw)
+        except Malformed as exc:
+            return await self._refuse(_id_of(raw), Reply(400, {"error": str(exc)}))
+        if sub.id in self._book.live or self._book.final(sub.id) is not None:
+            known = await self._known(sub.id)
+            if known is not None:
+                return Reply(200, known)
+        builds = self._builds()
+        if not builds:
+            raise Unable("the machine types are not known yet")
+        why = refusal(sub, builds, self._params)
+        if why is not None:
+            return await self._refuse(sub.id, Reply(422, {"error": why}))
+        if await self._book.accept(self._narrowed(sub, builds), self._wall()):
+            log.info("%s accepted: %d pieces, %s, %s", sub.id, sub.pieces, sub.lane, sub.crew)
+            return Reply(201, {"id": sub.id, "stage": "queued"})
+        known = await self._known(sub.id)
+        if known is None:
+            raise Unable("the record changed while it was read")
+        return Reply(200, known)
+
+    def _narrowed(self, sub: Submission, builds: dict[str, Build]) -> Submission:
+        """Only known types are kept, so that a record stays small."""
+        if sub.builds is None:
+            return sub
+        fields = {f: getattr(sub, f) for f in sub.__struct_fields__}
+        return Submission(**fields | {"builds": usable_builds(sub, builds, self._params.zones)})
+
+    async def _refuse(self, job: str | None, reply: Reply) -> Reply:
+        """A job that was accepted once is never refused, whatever the repeat looks like."""
+        if job is not None:
+            known = await self._known(job)
+            if known is not None:
+                return Reply(200, known)
+        return reply
+
+    async def _poll(self, job: str) -> Reply:
+        if not JOB_ID.fullmatch(job):
+            return Reply(404, {"error": "no such job"})
+        known = await self._known(job)
+        return Reply(404, {"error": "no such job"}) if known is None else Reply(200, known)
+
+    async def _withdraw(self, job: str) -> Reply:
+        if not JOB_ID.fullmatch(job):
+            return Reply(404, {"error": "no such job"})
+        for _ in range(4):
+            known = await self._known(job)
+            if known is None:
+                return Reply(404, {"error": "no such job"})
+            if known["stage"] in ("done", "aborted"):
+                return Reply(200, {"id": job, "stage": known["stage"]})
+            if job in self._book.live and await self._book.withdraw(job, self._wall()):
+                log.info("%s withdrawn", job)
+                return Reply(200, {"id": job, "stage": "aborted"})
+        raise Unable("the job kept changing")
+
+
+def _id_of(raw: bytes) -> str | None:
+    try:
+        data = decode(raw)
+    except Malformed:
+        return None
+    job = data.get("id") if isinstance(data, dict) else None
+    return job if isinstance(job, str) and JOB_ID.fullmatch(job) else None
--- /dev/null
+++ b/spoolcourse/control/jobs/book.py
@@ -0,0 +1,149 @@
+"""Every node's view of the jobs, made from the mirror, and the writes of the intake."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import Any, Literal
+
+from spoolcourse.control.jobs.records import JobRecord, Progress, chunk_pieces
+from spoolcourse.control.store.client import Put, StoreClient, Unclear
+from spoolcourse.control.store.keys import (
+    FINAL,
+    JOB,
+    PROGRESS,
+    final_key,
+    job_key,
+    split_progress,
+)
+from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.wire.messages import Submission
+
+FinalStage = Literal["done", "aborted"]
+FINALS_KEPT = 20_000
+
+
+class Book:
+    """Live jobs, and the most recent final states."""
+
+    def __init__(self, client: StoreClient, mirror: Mirror) -> None:
+        self._client = client
+        self._mirror = mirror
+        self.live: dict[str, JobRecord] = {}
+        self.counts: dict[str, dict[int, tuple[int, int]]] = {}  # per chunk: done, held
+        self._finals: OrderedDict[str, dict[str, Any]] = OrderedDict()
+        mirror.listen(self._on_change)
+
+    def _on_change(self, key: str, value: Any, stamp: int) -> None:
+        if key.startswith(JOB):
+            job = key[len(JOB) :]
+            if value is None:
+                self.live.pop(job, None)
+            else:
+                self.live[job] = JobRecord.from_value(value, stamp)
+        elif key.startswith(PROGRESS):
+            job, chunk = split_progress(key)
+            if value is None:
+                chunks = self.counts.get(job)
+                if chunks is not None:
+                    chunks.pop(chunk, None)
+                    if not chunks:
+                        del self.counts[job]
+            else:
+                progress = Progress.from_value(value)
+                self.counts.setdefault(job, {})[chunk] = (
+                    progress.done.bit_count(),
+                    len(progress.held),
+                )
+        elif key.startswith(FINAL) and value is not None:
+            self.remember_final(key[len(FINAL) :], value)
+
+    def remember_final(self, job: str, value: dict[str, Any]) -> None:
+        self._finals[job] = value
+        self._finals.move_to_end(job)
+        while len(self._finals) > FINALS_KEPT:
+            self._finals.popitem(last=False)
+
+    def final(self, job: str) -> dict[str, Any] | None:
+        """A final state known here: final states never change."""
+        record = self.live.get(job)
+        if record is not None and record.aborted:
+            return self.answer(job, "aborted")
+        value = self._finals.get(job)
+        return self.answer(job, value["stage"], value) if value else None
+
+    def answer(self, job: str, stage: str, final: dict[str, Any] | None = None) -> dict[str, Any]:
+        if final is not None:
+            return {"id": job, "stage": stage, "done": final.get("done", 0), "running": 0}
+        done = held = 0
+        for chunk_done, chunk_held in self.counts.get(job, {}).values():
+            done += chunk_done
+            held += chunk_held
+        return {
+            "id": job,
+            "stage": stage,
+            "done": done,
+            "running": held if stage == "running" else 0,
+        }
+
+    def current(self, job: str) -> dict[str, Any] | None:
+        """The state as of the last sync; None if this node knows nothing of the job."""
+        final = self.final(job)
+        if final is not None:
+            return final
+        if job not in self.live:
+            return None
+        busy = any(held for _, held in self.counts.get(job, {}).values())
+        return self.answer(job, "running" if busy else "queued")
+
+    async def look_up(self, job: str) -> dict[str, Any] | None:
+        """A consistent answer about a job that the synced mirror does not hold live.
+
+        The sync comes first, then this read: a job that was final by the sync is found
+        here, and one that was not has never been accepted by then.
+        """
+        entry = await self._client.get(final_key(job))
+        if entry is None:
+            return None
+        self.remember_final(job, entry.value)
+        return self.answer(job, entry.value["stage"], entry.value)
+
+    async def accept(self, sub: Submission, at: float) -> bool:
+        """Write a new job. False: the id is known already. Raises if it is not known
+        whether the write was carried out."""
+        record = JobRecord(sub, at, chunk_pieces(self._client.limits.value_kb), None, 0)
+        key = job_key(sub.id)
+        value = record.value()
+        try:
+            outcome = await self._client.txn({key: 0, final_key(sub.id): 0}, [Put(key, value)])
+        except Unclear:
+            entry = await self._client.get(key)
+            if entry is None or entry.value != value:
+                raise
+            self._mirror.apply(key, entry.value, entry.stamp)
+            return True
+        if outcome.ok:
+            self._mirror.apply(key, value, outcome.ledger)
+        return outcome.ok
+
+    async def withdraw(self, job: str, at: float) -> bool:
+        """Mark a live job aborted; False if it changed meanwhile (look again).
+
+        Conditional on the record's stamp, like the leader's `done`: one of them wins.
+        """
+        record = self.live[job]
+        if record.aborted:
+            return True
+        aborted = JobRecord(record.sub, record.at, record.chunk, at, 0)
+        key = job_key(job)
+        value = aborted.value()
+        try:
+            outcome = await self._client.txn({key: record.stamp}, [Put(key, value)])
+        except Unclear:
+            entry = await self._client.get(key)
+            if entry is None or entry.value.get("aborted") is None:
+                raise
+            self._mirror.apply(key, entry.value, entry.stamp)
+            return True
+        if outcome.ok:
+            self._mirror.apply(key, value, outcome.ledger)
+        return outcome.ok
--- /dev/null
+++ b/spoolcourse/control/jobs/works.py
@@ -0,0 +1,199 @@
+"""The leader's working state of jobs: what is pending, held or done, and what is saved.
+
+Progress is changed in memory first; the writer saves it. Whatever must not be said or
+sent before it is durable asks `saved` first.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from spoolcourse.control.jobs.records import JobRecord, Progress
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One attempt at a piece. It exists until it is proven gone."""
+
+    work: Work
+    piece: int
+    number: int
+    machine: str
+    version: int  # of its chunk when it was assigned
+    since: float  # when `stage` began
+    stage: str = "assigned"  # open (taken over), assigned, pulling, running, flushing
+    sent: tuple[int, int] | None = None  # the report whose response carried the start
+    seen: bool = False
+    halting: bool = False
+
+    @property
+    def saved(self) -> bool:
+        return self.work.chunk(self.piece).saved >= self.version
+
+
+@dataclass(slots=True, eq=False)
+class Chunk:
+    """A progress key: the wanted content, and how much of it is durable."""
+
+    index: int
+    progress: Progress = field(default_factory=Progress)
+    stamp: int = 0
+    version: int = 0
+    saved: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Work:
+    """A live job while this node leads."""
+
+    record: JobRecord
+    chunks: dict[int, Chunk] = field(default_factory=dict)
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    done: int = 0
+    requeued: set[int] = field(default_factory=set)
+    fresh: int = 0  # pieces from here on were never assigned, but for those held or done
+    retry_at: float = 0.0
+    failures: int = 0  # attempts in a row that ended in error
+    bad_machines: set[str] = field(default_factory=set)
+    final: bool = False  # the final state is durable
+    waiting_since: float = 0.0
+
+    @property
+    def id(self) -> str:
+        return self.record.sub.id
+
+    @property
+    def order(self) -> tuple[float, str]:
+        return (self.record.at, self.id)
+
+    @property
+    def pending(self) -> int:
+        return self.record.sub.pieces - self.done - len(self.attempts)
+
+    @property
+    def finished(self) -> bool:
+        """Nothing is left to do but to write the final state."""
+        if self.record.aborted:
+            return not self.attempts
+        return self.done == self.record.sub.pieces
+
+    def chunk(self, piece: int) -> Chunk:
+        index = piece // self.record.chunk
+        chunk = self.chunks.get(index)
+        if chunk is None:
+            chunk = self.chunks[index] = Chunk(index)
+        return chunk
+
+    def is_done(self, piece: int) -> bool:
+        chunk = self.chunks.get(piece // self.record.chunk)
+        return chunk is not None and bool(chunk.progress.done >> (piece % self.record.chunk) & 1)
+
+    def candidates(self) -> Iterator[int]:
+        """Pending pieces: those that lost an attempt first, then in order."""
+        yield from sorted(p for p in self.requeued if p not in self.attempts)
+        piece = self.fresh
+        while piece < self.record.sub.pieces:
+            if piece not in self.attempts and piece not in self.requeued:
+                if not self.is_done(piece):
+                    yield piece
+                elif piece == self.fresh:
+                    self.fresh += 1
+            elif piece == self.fresh:
+                self.fresh += 1
+            piece += 1
+
+
+class Works:
+    """All live jobs of the term, with the chunks that wait to be saved."""
+
+    def __init__(self) -> None:
+        self.jobs: dict[str, Work] = {}
+        self.dirty: dict[tuple[str, int], Chunk] = {}
+        self.finished: dict[str, Work] = {}
+        self.on_dirty: Callable[[], None] = lambda: None
+
+    def touch(self, work: Work, chunk: Chunk) -> int:
+        chunk.version += 1
+        self.dirty[work.id, chunk.index] = chunk
+        self.on_dirty()
+        return chunk.version
+
+    def assign(self, work: Work, piece: int, machine: str, number: int, now: float) -> Attempt:
+        if piece in work.attempts or work.is_done(piece) or work.record.aborted:
+            raise ValueError(f"{work.id}/{piece} is not free to start")
+        chunk = work.chunk(piece)
+        chunk.progress.held[piece] = (machine, number)
+        attempt = Attempt(work, piece, number, machine, self.touch(work, chunk), now)
+        work.attempts[piece] = attempt
+        work.requeued.discard(piece)
+        return attempt
+
+    def adopt(self, work: Work, piece: int, machine: str, number: int, now: float) -> Attempt:
+        """Take over an attempt that the records or a report show; it may be anywhere."""
+        chunk = work.chunk(piece)
+        version = chunk.version
+        if chunk.progress.held.get(piece) != (machine, number):
+            chunk.progress.held[piece] = (machine, number)
+            version = self.touch(work, chunk)
+        attempt = Attempt(work, piece, number, machine, version, now, stage="open")
+        work.attempts[piece] = attempt
+        work.requeued.discard(piece)
+        return attempt
+
+    def drop(self, attempt: Attempt) -> None:
+        """The attempt is proven gone: its piece may be tried again."""
+        work = attempt.work
+        if work.attempts.get(attempt.piece) is not attempt:
+            return
+        del work.attempts[attempt.piece]
+        chunk = work.chunk(attempt.piece)
+        chunk.progress.held.pop(attempt.piece, None)
+        self.touch(work, chunk)
+        if not work.is_done(attempt.piece):
+            work.requeued.add(attempt.piece)
+        self.check(work)
+
+    def complete(self, work: Work, piece: int) -> None:
+        """The piece's result exists. Its attempt, if it is the one that ended, is dropped
+        by the caller."""
+        if work.is_done(piece):
+            return
+        chunk = work.chunk(piece)
+        chunk.progress.done |= 1 << (piece % work.record.chunk)
+        work.done += 1
+        work.requeued.discard(piece)
+        self.touch(work, chunk)
+        self.check(work)
+
+    def check(self, work: Work) -> None:
+        if work.finished and not work.final:
+            self.finished[work.id] = work
+            self.on_dirty()
+
+    def add(self, record: JobRecord, now: float) -> Work:
+        work = Work(record, waiting_since=now)
+        self.jobs[work.id] = work
+        self.check(work)
+        return work
+
+    def remove(self, work: Work) -> None:
+        work.final = True
+        self.jobs.pop(work.id, None)
+        self.finished.pop(work.id, None)
+        for index in work.chunks:
+            self.dirty.pop((work.id, index), None)
+
+    def restore(
+        self, record: JobRecord, now: float, saved: dict[int, tuple[Progress, int]]
+    ) -> Work:
+        """Rebuild from the records; attempts are open until their machines have spoken."""
+        work = Work(record, waiting_since=now)
+        self.jobs[work.id] = work
+        for index, (progress, stamp) in saved.items():
+            work.chunks[index] = Chunk(index, progress, stamp)
+            work.done += progress.done.bit_count()
+            for piece, (machine, number) in list(progress.held.items()):
+                self.adopt(work, piece, machine, number, now)
+        self.check(work)
+        return work
--- /dev/null
+++ b/spoolcourse/control/jobs/writer.py
@@ -0,0 +1,177 @@
+"""Saves the leader's progress: one batched summary per changed chunk, final states too.
+
+Every write is conditional on the term's stamp, on the job record's stamp and on the
+stamp of the key itself. So neither a deposed leader's write nor an earlier write of
+our own that arrives late can undo a newer one, and no assignment becomes durable for
+a job that was withdrawn before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+
+import orjson
+
+from spoolcourse.control.jobs.works import Chunk, Work, Works
+from spoolcourse.control.leadership.election import Office
+from spoolcourse.control.store.client import Delete, Outcome, Put, Refused, StoreClient, Unclear
+from spoolcourse.control.store.keys import TERM, final_key, job_key, progress_key
+from spoolcourse.control.store.mirror import Mirror
+
+log = logging.getLogger(__name__)
+
+TXN_BYTES = 48 * 1024  # of 64 KiB: the rest is for conditions and spelling
+
+
+class Writer:
+    def __init__(
+        self,
+        client: StoreClient,
+        mirror: Mirror,
+        works: Works,
+        office: Office,
+        depose: Callable[[str], None],
+        on_saved: Callable[[], None],
+    ) -> None:
+        self._client = client
+        self._mirror = mirror
+        self._works = works
+        self._office = office
+        self._depose = depose
+        self._on_saved = on_saved
+        self._wake = asyncio.Event()
+        works.on_dirty = self._wake.set
+
+    async def run(self) -> None:
+        delay = 0.1
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            try:
+                while self._works.dirty or self._works.finished:
+                    await self._finish_some()
+                    await self._save_some()
+                    delay = 0.1
+            except (Refused, Unclear) as exc:
+                log.debug("write: %s", exc)
+                self._wake.set()
+                await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+                delay = min(delay * 2, 1.0)
+
+    async def _save_some(self) -> None:
+        conditions = {TERM: self._office.stamp}
+        ops: list[Put | Delete] = []
+        taken: list[tuple[Work, Chunk, int, Put]] = []
+        size = 0
+        for (job, index), chunk in list(self._works.dirty.items()):
+            work = self._works.jobs.get(job)
+            if work is None or job in self._works.finished:
+                del self._works.dirty[job, index]
+                continue
+            value = chunk.progress.value()
+            size += len(orjson.dumps(value)) + 300
+            if ops and (size > TXN_BYTES or len(ops) >= self._client.limits.txn_ops):
+                break
+            put = Put(progress_key(job, index), value)
+            conditions[put.key] = chunk.stamp
+            conditions[job_key(job)] = work.record.stamp
+            ops.append(put)
+            taken.append((work, chunk, chunk.version, put))
+        if not ops:
+            return
+        outcome = await self._commit(conditions, ops)
+        if not outcome.ok:
+            await self._after_conflict(outcome)
+            return
+        for work, chunk, version, put in taken:
+            chunk.stamp = outcome.ledger
+            chunk.saved = version
+            if chunk.version == version:
+                self._works.dirty.pop((work.id, chunk.index), None)
+            self._mirror.apply(put.key, put.value, outcome.ledger)
+        self._on_saved()
+
+    async def _finish_some(self) -> None:
+        for work in list(self._works.finished.values()):
+            if not work.finished or self._works.jobs.get(work.id) is not work:
+                self._works.finished.pop(work.id, None)
+                continue
+            key = job_key(work.id)
+            stage = "aborted" if work.record.aborted else "done"
+            value = {"stage": stage, "done": work.done, "at": work.record.at}
+            saved = [c for c in work.chunks.values() if c.stamp]
+            room = self._client.limits.txn_ops - 2
+            # A job of very many chunks loses the first of them beforehand; with its
+            # record still there the rest would be taken for undone after a crash. So the
+            # final state goes first, and what is left is swept up later.
+            ops: list[Put | Delete] = [Put(final_key(work.id), value), Delete(key)]
+            ops += [Delete(progress_key(work.id, c.index)) for c in saved[:room]]
+            conditions = {
+                TERM: self._office.stamp,
+                key: work.record.stamp,
+                final_key(work.id): 0,
+            }
+            outcome = await self._commit(conditions, ops)
+            if not outcome.ok:
+                await self._after_conflict(outcome)
+                continue
+            self._works.remove(work)
+            self._mirror.apply(final_key(work.id), value, outcome.ledger)
+            self._mirror.apply(key, None, outcome.ledger)
+            for chunk in saved[:room]:
+                self._mirror.apply(progress_key(work.id, chunk.index), None, outcome.ledger)
+            log.info("%s is %s", work.id, stage)
+            self._on_saved()
+            await self.sweep([progress_key(work.id, c.index) for c in saved[room:]])
+
+    async def sweep(self, keys: list[str]) -> None:
+        """Delete progress of jobs that are over."""
+        step = self._client.limits.txn_ops
+        for start in range(0, len(keys), step):
+            part = keys[start : start + step]
+            outcome = await self._commit({TERM: self._office.stamp}, [Delete(k) for k in part])
+            if not outcome.ok:
+                await self._after_conflict(outcome)
+                return
+            for key in part:
+                self._mirror.apply(key, None, outcome.ledger)
+
+    async def _commit(self, conditions: dict[str, int], ops: list[Put | Delete]) -> Outcome:
+        try:
+            return await self._client.txn(conditions, ops)
+        except Unclear:
+            # It may have been carried out, or may still be. Look; the same conditions
+            # make sure that it and the next try can't both be carried out.
+            if not await self._mirror.sync():
+                raise
+            self._adopt()
+            raise
+
+    async def _after_conflict(self, outcome: Outcome) -> None:
+        if TERM in outcome.failed:
+            self._depose("a write was refused: the term has passed")
+            raise Refused("deposed")
+        log.debug("write conflict: %s", outcome.failed)
+        if not await self._mirror.sync():
+            raise Refused("no sync after a conflict")
+        self._adopt()
+
+    def _adopt(self) -> None:
+        """Take over the stamps, and finished jobs, that the synced mirror shows."""
+        for job, work in list(self._works.jobs.items()):
+            stamp = self._mirror.stamp(job_key(job))
+            if stamp == 0 and work in self._works.finished.values():
+                self._works.remove(work)
+                self._on_saved()
+                continue
+            for chunk in work.chunks.values():
+                entry = self._mirror.get(progress_key(job, chunk.index))
+                if entry is not None and entry.stamp != chunk.stamp:
+                    chunk.stamp = entry.stamp
+                    if entry.value == chunk.progress.value():
+                        chunk.saved = chunk.version
+                        self._works.dirty.pop((job, chunk.index), None)
+                        self._on_saved()
--- /dev/null
+++ b/spoolcourse/control/leadership/election.py
@@ -0,0 +1,180 @@
+"""One leader at a time: a leased key says who, a term key fences what it writes.
+
+The term is the workers' `baton`. Every write of a leader is conditional on the stamp
+that the term key got when it was elected, so a deposed leader's writes fail however
+late they arrive. The lease only decides when others may stand for election; nothing
+is safe because of it alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from spoolcourse.control.store.client import LeaseGone, Put, Refused, StoreClient, Unclear
+from spoolcourse.control.store.keys import LEADER, TERM
+from spoolcourse.control.store.mirror import Mirror
+
+log = logging.getLogger(__name__)
+
+DRIFT = 0.001  # two clocks, each up to 0.05% off
+
+
+@dataclass(frozen=True, slots=True)
+class Office:
+    """A term that this node was elected for."""
+
+    term: int
+    stamp: int  # of the term key: the fencing condition of every leader write
+    lease: int
+
+
+class Leadership:
+    """Stands for election when nobody leads, and keeps the lease while leading."""
+
+    def __init__(
+        self,
+        client: StoreClient,
+        mirror: Mirror,
+        label: str,
+        run_id: str,
+        ttl_s: float = 2.5,
+    ) -> None:
+        self._client = client
+        self._mirror = mirror
+        self._label = label
+        self._run_id = run_id
+        self._ttl_s = ttl_s
+        self.office: Office | None = None
+        self._valid_until = float("-inf")
+        self._changed = asyncio.Event()
+        self._deposed = asyncio.Event()
+        self.on_elected: Callable[[Office], None] = lambda office: None
+        self.on_deposed: Callable[[], None] = lambda: None
+        mirror.listen(self._on_change)
+
+    @property
+    def foreman(self) -> str | None:
+        """The label of the leader as far as this node knows."""
+        entry = self._mirror.get(LEADER)
+        return entry.value["label"] if entry else None
+
+    def valid(self) -> bool:
+        """True while no other node can have been elected."""
+        return self.office is not None and (
+            asyncio.get_running_loop().time() < self._valid_until and not self._deposed.is_set()
+        )
+
+    def depose(self, reason: str) -> None:
+        """Give the office up, at once."""
+        if self.office is None:
+            return
+        log.info("term %d: stepping down: %s", self.office.term, reason)
+        self.office = None
+        self._valid_until = float("-inf")
+        self._deposed.set()
+        self._client.set_leader(False)
+        self.on_deposed()
+
+    def _on_change(self, key: str, value: object, stamp: int) -> None:
+        if key in (LEADER, TERM):
+            self._changed.set()
+            if key == TERM and self.office is not None and stamp > self.office.stamp:
+                self.depose("a newer term was elected")
+
+    async def run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._mirror.loaded.wait()
+            if self.office is not None:
+                await self._lead()
+                continue
+            self._changed.clear()
+            entry = self._mirror.get(LEADER)
+            if entry is not None and not self._is_former_self(entry.value):
+                # Wake for a change; look again now and then in case the watch hangs.
+                try:
+                    async with asyncio.timeout(self._ttl_s):
+                        await self._changed.wait()
+                except TimeoutError:
+                    if loop.time() - self._mirror.synced_at > self._ttl_s:
+                        await self._mirror.sync()
+                continue
+            try:
+                await self._stand()
+            except (Refused, Unclear, LeaseGone) as exc:
+                log.debug("election: %s", exc)
+                await asyncio.sleep(random.uniform(0.1, 0.4))
+
+    def _is_former_self(self, value: dict[str, str]) -> bool:
+        # A restarted process need not wait for its own lease: the run that held it is
+        # dead, and the new term fences whatever it still has on the way.
+        return value.get("label") == self._label and value.get("run") != self._run_id
+
+    async def _stand(self) -> None:
+        loop = asyncio.get_running_loop()
+        if not await self._mirror.sync():
+            raise Unclear("the state service did not answer")
+        entry, term = self._mirror.get(LEADER), self._mirror.get(TERM)
+        if entry is not None and not self._is_former_self(entry.value):
+            return
+        number = (term.value["term"] if term else 0) + 1
+        sent = loop.time()
+        lease = await self._client.grant(self._ttl_s)
+        claim = {"label": self._label, "run": self._run_id, "term": number}
+        try:
+            outcome = await self._client.txn(
+                {LEADER: entry.stamp if entry else 0, TERM: term.stamp if term else 0},
+                [Put(LEADER, claim, lease), Put(TERM, {"term": number, "run": self._run_id})],
+                urgent=True,
+            )
+            if not outcome.ok:
+                await self._mirror.sync()
+                return
+            stamp = outcome.ledger
+        except Unclear:
+            # Perhaps it was carried out: the term key tells, and says whose it is.
+            found = await self._client.get(TERM)
+            if found is None or found.value != {"term": number, "run": self._run_id}:
+                raise
+            stamp = found.stamp
+        self._mirror.apply(LEADER, claim, stamp)
+        self._mirror.apply(TERM, {"term": number, "run": self._run_id}, stamp)
+        self.office = Office(number, stamp, lease)
+        self._deposed.clear()
+        self._valid_until = sent + self._ttl_s * (1 - DRIFT)
+        self._client.set_leader(True)
+        log.info("elected for term %d", number)
+        self.on_elected(self.office)
+
+    async def _lead(self) -> None:
+        """Renew until deposed. Without answers the office is kept, but not `valid`."""
+        loop = asyncio.get_running_loop()
+        while self.office is not None:
+            office = self.office
+            pause = self._ttl_s / 4
+            sent = loop.time()
+            try:
+                await self._client.renew(office.lease)
+                if self.office is office:
+                    if sent >= self._valid_until:
+                        # After a gap the key may have changed hands: see it first.
+                        entry = await self._client.get(TERM)
+                        if entry is None or entry.stamp != office.stamp:
+                            self.depose("the term has passed")
+                            return
+                    self._valid_until = sent + self._ttl_s * (1 - DRIFT)
+            except LeaseGone:
+                self.depose("the lease is gone")
+                return
+            except (Refused, Unclear) as exc:
+                log.debug("renewal: %s", exc)
+                pause = self._ttl_s / 12
+            try:
+                async with asyncio.timeout(pause):
+                    await self._deposed.wait()
+            except TimeoutError:
+                pass
--- /dev/null
+++ b/spoolcourse/control/machines/cloud.py
@@ -0,0 +1,86 @@
+"""The cloud's protocol, within this node's share of its request limit."""
+
+from __future__ import annotations
+
+import logging
+
+from spoolcourse.control.net import Net, NetError, Reply
+from spoolcourse.control.store.budget import Bucket
+from spoolcourse.wire.messages import Catalog, Hired, Host, HostPage, Malformed, parse
+
+log = logging.getLogger(__name__)
+
+LIST_PAGE = 500
+DELETE_MAX = 100
+HIRE_MAX = 50
+
+
+class CloudError(Exception):
+    """Not carried out, or not known whether it was."""
+
+
+class NoCapacity(Exception):
+    """None available of this type, zone and kind."""
+
+
+class Cloud:
+    def __init__(self, net: Net, addr: str, rps: float, timeout: float = 4.0) -> None:
+        self._net = net
+        self._addr = addr
+        self._timeout = timeout
+        # Only the leader works with the cloud; other nodes read the catalog now and then.
+        self._bucket = Bucket(rps * 0.8, rps)
+
+    async def _call(self, method: str, path: str, body: object = None) -> Reply:
+        await self._bucket.take()
+        try:
+            reply = await self._net.call(self._addr, method, path, body, timeout=self._timeout)
+        except NetError as exc:
+            raise CloudError(str(exc)) from exc
+        if reply.status == 429:
+            self._bucket.drain()
+        if reply.status == 503 and reply.data and reply.data.get("error") == "no capacity":
+            raise NoCapacity
+        if reply.status != 200:
+            raise CloudError(f"{method} {path}: status {reply.status}")
+        return reply
+
+    async def catalog(self) -> Catalog:
+        reply = await self._call("GET", "/catalog")
+        try:
+            return parse(reply.data, Catalog)
+        except Malformed as exc:
+            raise CloudError(f"catalog: {exc}") from exc
+
+    async def hosts(self) -> list[Host]:
+        found: list[Host] = []
+        since = ""
+        while True:
+            path = f"/hosts?page={LIST_PAGE}" + (f"&since={since}" if since else "")
+            reply = await self._call("GET", path)
+            try:
+                page = parse(reply.data, HostPage)
+            except Malformed as exc:
+                raise CloudError(f"hosts: {exc}") from exc
+            found += page.spindles
+            if not page.hasNext or not page.spindles:
+                return found
+            since = page.spindles[-1].id
+
+    async def hire(self, name: str, build: str, yard: str, loaner: bool, count: int) -> list[str]:
+        body = {
+            "hire": name,
+            "build": build,
+            "yard": yard,
+            "loaners": loaner,
+            "count": min(count, HIRE_MAX),
+        }
+        reply = await self._call("POST", "/hosts", body)
+        try:
+            return parse(reply.data, Hired).spindles
+        except Malformed as exc:
+            raise CloudError(f"hire: {exc}") from exc
+
+    async def delete(self, names: list[str]) -> None:
+        """Returns once the machines and everything on them are gone."""
+        await self._call("POST", "/hosts/delete", {"spindles": names[:DELETE_MAX]})
--- /dev/null
+++ b/spoolcourse/control/machines/keeper.py
@@ -0,0 +1,271 @@
+"""Machines as wanted and as they are: listing, renting, returning, burying.
+
+The wanted state is what the last pass found missing and what stands idle; the loops
+here work out the difference and ask the cloud for it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from spoolcourse.control.fleet.roster import Machine, Roster
+from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
+from spoolcourse.control.net import Net, NetError
+from spoolcourse.policy.defaults import Policy
+from spoolcourse.wire.messages import Build, Host, Malformed, Report, parse
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    build: str
+    yard: str
+    loaner: bool
+
+
+@dataclass(slots=True)
+class Refusal:
+    until: float
+    pause: float
+
+
+class Keeper:
+    def __init__(
+        self,
+        net: Net,
+        cloud: Cloud,
+        roster: Roster,
+        policy: Policy,
+        builds: Callable[[], dict[str, Build]],
+        clock: Callable[[], float],
+        may_rent: Callable[[], bool],
+        list_lag_s: float,
+        lease_s: float,
+        cancel_s: float,
+        report_s: float,
+        wall: Callable[[], float],
+    ) -> None:
+        self._net = net
+        self._cloud = cloud
+        self._roster = roster
+        self._policy = policy
+        self._builds = builds
+        self._clock = clock
+        self._may_rent = may_rent
+        self._list_lag_s = list_lag_s
+        self._lease_s = lease_s
+        self._cancel_s = cancel_s
+        self._report_s = report_s
+        self._wall = wall
+        self._hires = 0
+        self.refusals: dict[Kind, Refusal] = {}
+        self.wanted: list[tuple[Kind, int]] = []
+        self.renting = False  # what is being asked for is not known as a machine yet
+        self.wake = asyncio.Event()
+
+    # -- the list -----------------------------------------------------------------------
+
+    async def list_loop(self) -> None:
+        while True:
+            try:
+                sent = self._clock()
+                hosts = await self._cloud.hosts()
+                self.take_list(hosts, sent)
+                await self._probe(hosts)
+            except CloudError as exc:
+                log.info("machine list: %s", exc)
+            await asyncio.sleep(max(2.0, self._list_lag_s / 2))
+
+    def take_list(self, hosts: list[Host], now: float) -> None:
+        for host in hosts:
+            if host.id in self._roster.buried:
+                continue
+            machine = self._roster.machine(host.id)
+            machine.listed, machine.listed_at = host.stage, now
+            machine.build = machine.build or host.build
+            machine.yard = machine.yard or host.yard
+            if machine.loaner is None:
+                machine.loaner = host.loaners
+            machine.address = machine.address or host.address
+            if machine.rented_at is None:
+                machine.rented_at = now - host.ageS
+            if machine.heard_at is None and machine.up_at is None:
+                machine.up_at = machine.rented_at + self._boot_s(machine)
+
+    def _boot_s(self, machine: Machine) -> float:
+        build = self._builds().get(machine.build or "")
+        return build.startupS if build else 60.0
+
+    async def _probe(self, hosts: list[Host]) -> None:
+        """Raise the baton on machines that have not spoken under it yet, with an empty
+        order: they may be reporting to a node that can't know of us."""
+        todo = [
+            m
+            for h in hosts
+            if h.stage == "running"
+            and (m := self._roster.machines.get(h.id)) is not None
+            and not m.confirmed
+            and m.address
+        ]
+        gate = asyncio.Semaphore(8)
+
+        async def one(machine: Machine) -> None:
+            async with gate:
+                await self.raise_baton(machine)
+
+        await asyncio.gather(*(one(m) for m in todo))
+
+    async def raise_baton(self, machine: Machine) -> None:
+        try:
+            shown = await self._net.call(machine.address, "GET", "/show", timeout=1.0)
+            report = parse(shown.data, Report)
+            body = {"baton": self._roster.term, "shift": report.shift, "orders": []}
+            reply = await self._net.call(machine.address, "POST", "/orders", body, timeout=1.0)
+            report = parse(reply.data, Report)
+            if report.spindle == machine.id:
+                self._roster.observe(report)
+        except (NetError, Malformed) as exc:
+            log.debug("%s: baton not raised: %s", machine.id, exc)
+
+    # -- renting ------------------------------------------------------------------------
+
+    def open_for_hire(self, kind: Kind) -> bool:
+        refusal = self.refusals.get(kind)
+        return refusal is None or refusal.until <= self._clock()
+
+    async def rent_loop(self) -> None:
+        while True:
+            await self.wake.wait()
+            self.wake.clear()
+            wanted, self.wanted = self.wanted, []
+            self.renting = True
+            for kind, count in wanted:
+                if self._may_rent() and self.open_for_hire(kind):
+                    await self._rent(kind, count)
+            self.renting = False
+
+    async def _rent(self, kind: Kind, count: int) -> None:
+        # The name holds the term, so no other leader uses it, nor does this one again.
+        self._hires += 1
+        name = f"t{self._roster.term}-{self._hires}"
+        for _ in range(3):
+            asked = self._clock()
+            try:
+                names = await self._cloud.hire(name, kind.build, kind.yard, kind.loaner, count)
+            except NoCapacity:
+                self._refused(kind)
+                return
+            except CloudError as exc:
+                log.info("hire %s: %s", name, exc)
+                await asyncio.sleep(0.5)
+                continue
+            for machine_name in names:
+                if machine_name in self._roster.buried:
+                    continue
+                machine = self._roster.machine(machine_name)
+                machine.build, machine.yard, machine.loaner = kind.build, kind.yard, kind.loaner
+                machine.rented_at = asked
+                if machine.heard_at is None:
+                    machine.up_at = asked + self._boot_s(machine)
+            log.info("hired %d of %d %s in %s, spot %s", len(names), count, *_words(kind))
+            if len(names) < count:
+                self._refused(kind)
+            else:
+                self.refusals.pop(kind, None)
+            return
+
+    def _refused(self, kind: Kind) -> None:
+        before = self.refusals.get(kind)
+        pause = min(before.pause * 2, 60.0) if before else self._policy.refused_s
+        self.refusals[kind] = Refusal(self._clock() + pause, pause)
+        log.info("no more %s in %s, spot %s, for now", *_words(kind))
+
+    # -- returning and burying ------------------------------------------------------------
+
+    async def return_loop(self) -> None:
+        while True:
+            await asyncio.sleep(1.0)
+            self._roster.expire()
+            names = self.to_delete()
+            if not names:
+                continue
+            for name in names:
+                self._roster.machines[name].deleting = True
+            try:
+                await self._cloud.delete(names)
+            except (CloudError, NoCapacity) as exc:
+                log.info("deletion: %s", exc)
+                continue
+            for name in names:
+                self._roster.gone(name)
+
+    def isolated(self) -> bool:
+        """Most machines silent at once: more likely we are cut off than they are dead."""
+        now = self._clock()
+        known = [m for m in self._roster.machines.values() if m.heard_at is not None]
+        quiet = sum(1 for m in known if now - (m.heard_at or 0.0) > 3 * self._report_s + 1.0)
+        return len(known) >= 3 and quiet * 2 > len(known)
+
+    def to_delete(self) -> list[str]:
+        now = self._clock()
+        isolated = self.isolated()
+        names = []
+        for machine in self._roster.machines.values():
+            reason = self._reason(machine, now, isolated)
+            if reason:
+                if not machine.deleting:
+                    log.info("%s: returned: %s", machine.id, reason)
+                names.append(machine.id)
+        return names[:100]
+
+    def _reason(self, machine: Machine, now: float, isolated: bool) -> str | None:
+        if machine.deleting:
+            return "asked for before"
+        if machine.listed == "failed":
+            return "it failed"
+        heard = machine.heard_at
+        silent = now - (heard if heard is not None else machine.since)
+        if self._cancel_due(machine, silent):
+            return "a withdrawn job may be on it, and it is silent"
+        if heard is None and machine.up_at is not None and not machine.attempts:
+            boot = self._boot_s(machine)
+            if now - (machine.up_at - boot) > self._policy.boot_patience * boot + self._report_s:
+                return "it does not come up"
+            return None
+        if silent > self._policy.silent_leases * self._lease_s and not isolated:
+            return "it is silent"
+        if len(machine.errors) >= 2 and not machine.attempts:
+            return "tasks of several jobs fail on it"
+        if (
+            machine.confirmed
+            and not machine.attempts
+            and not machine.strays
+            and machine.idle_since is not None
+        ):
+            idle = now - machine.idle_since
+            boot = self._boot_s(machine)
+            if machine.leaving or idle > max(
+                self._policy.idle_min_s, self._policy.idle_boots * boot
+            ):
+                return "it is idle"
+        return None
+
+    def _cancel_due(self, machine: Machine, silent: float) -> bool:
+        """A withdrawn job's tasks must be gone within `cancel_s`: a silent machine can't
+        be told, so it goes itself, early enough for a retry or two."""
+        if silent < 3 * self._report_s + 1.0:
+            return False
+        limit = self._cancel_s * 0.4
+        wall = self._wall()
+        return any(
+            a.work.record.aborted_at is not None and wall - a.work.record.aborted_at > limit
+            for a in machine.attempts.values()
+        )
+
+
+def _words(kind: Kind) -> tuple[str, str, str]:
+    return kind.build, kind.yard, "yes" if kind.loaner else "no"
--- /dev/null
+++ b/spoolcourse/control/net.py
@@ -0,0 +1,116 @@
+"""Calls to other hosts, and the server side: thin layers over aiohttp.
+
+The slices see only `Net` and `Handler`, so tests put in-memory fakes in place.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, Protocol
+
+import aiohttp
+import orjson
+from aiohttp import web
+
+from spoolcourse.wire.messages import BODY_LIMIT
+
+log = logging.getLogger(__name__)
+
+
+class NetError(Exception):
+    """No answer. The request may have been carried out, or may still be."""
+
+
+@dataclass(frozen=True, slots=True)
+class Reply:
+    status: int
+    data: Any = None
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    method: str
+    path: str
+    body: bytes = b""
+
+
+class Net(Protocol):
+    async def call(
+        self, addr: str, method: str, path: str, body: Any = None, timeout: float = 1.0
+    ) -> Reply: ...
+
+
+Handler = Callable[[Request], Awaitable[Reply]]
+
+
+class HttpNet:
+    """The network as it is: one pooled client session."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(
+                limit=200, limit_per_host=24, keepalive_timeout=20.0, use_dns_cache=False
+            )
+            self._session = aiohttp.ClientSession(
+                connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
+            )
+        return self._session
+
+    async def call(
+        self, addr: str, method: str, path: str, body: Any = None, timeout: float = 1.0
+    ) -> Reply:
+        raw = None if body is None else body if isinstance(body, bytes) else orjson.dumps(body)
+        try:
+            async with asyncio.timeout(timeout):
+                async with self._client().request(
+                    method,
+                    f"http://{addr}{path}",
+                    data=raw,
+                    allow_redirects=False,
+                    headers={"Content-Type": "application/json"} if raw is not None else None,
+                ) as resp:
+                    text = await resp.read()
+                    try:
+                        data = orjson.loads(text) if text else None
+                    except orjson.JSONDecodeError:
+                        data = None
+                    return Reply(resp.status, data, dict(resp.headers))
+        except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
+            raise NetError(f"{method} {addr}{path}: {type(exc).__name__}: {exc}") from exc
+
+    async def close(self) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+
+async def listen(addr: tuple[str, int], handler: Handler) -> asyncio.Server:
+    """Serve `handler` on an address; any failure inside becomes a 503 to retry."""
+
+    async def serve(request: web.BaseRequest) -> web.Response:
+        try:
+            body = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return web.Response(status=413, body=b'{"error":"body too large"}')
+        try:
+            reply = await handler(Request(request.method, request.path_qs, body))
+        except Exception:
+            log.exception("%s %s failed", request.method, request.path)
+            reply = Reply(503, {"error": "internal"}, {"Retry-After": "1"})
+        return web.Response(
+            status=reply.status,
+            body=orjson.dumps(reply.data) if reply.data is not None else b"{}",
+            headers=reply.headers,
+            content_type="application/json",
+        )
+
+    server = web.Server(serve, access_log=None, keepalive_timeout=60.0, client_max_size=BODY_LIMIT)
+    return await asyncio.get_running_loop().create_server(
+        server, addr[0], addr[1], reuse_address=True, backlog=512
+    )
--- /dev/null
+++ b/spoolcourse/control/placement/backfill.py
@@ -0,0 +1,258 @@
+"""EASY backfilling with image fetches booked on machine and zone.
+
+Jobs are served in the order given. The first one that does not fit as a whole is the
+head: its projected start is worked out from the running tasks' estimated ends, and a
+later job may start now only where that leaves the projected start as it is.
+
+A job that waits only for its team's limit is not the head: machines kept free for it
+would stay idle without helping it.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable
+
+from spoolcourse.control.placement.model import Decision, Job, Node, Plan, Snapshot
+
+EPSILON = 1e-6
+RESERVED_MAX = 64  # pieces of the head that are protected
+
+
+def fit(cpus: float, gpus: float, memory: float, job: Job) -> int:
+    """How many tasks of the job go into these resources."""
+    count = math.inf
+    for free, need in ((cpus, job.cpus), (gpus, job.gpus), (memory, job.memory)):
+        if need > 0:
+            count = min(count, math.floor((free + EPSILON) / need))
+    return int(max(0, min(count, 100_000)))
+
+
+class _Guard:
+    """What is kept for the head on one node from a point in time on."""
+
+    __slots__ = ("at", "cpus", "gpus", "memory")
+
+    def __init__(self, at: float, cpus: float, gpus: float, memory: float) -> None:
+        self.at = at
+        self.cpus, self.gpus, self.memory = cpus, gpus, memory
+
+    def allows(self, job: Job, end: float) -> int:
+        if end <= self.at + EPSILON:
+            return 100_000
+        return fit(self.cpus, self.gpus, self.memory, job)
+
+    def book(self, job: Job, end: float, count: int) -> None:
+        if end > self.at + EPSILON:
+            self.cpus -= count * job.cpus
+            self.gpus -= count * job.gpus
+            self.memory -= count * job.memory
+
+
+class Pass:
+    """One pass over a snapshot. The snapshot is used up."""
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self.s = snapshot
+        self.plan = Plan()
+        self._guards: dict[int, _Guard] = {}
+        self._fetches = [0] * snapshot.zones
+        self._closed_zones: set[int] = set()
+        for node in snapshot.nodes:
+            self._fetches[node.zone] += len(node.pulling)
+
+    def run(self) -> Plan:
+        for index, job in enumerate(self.s.jobs):
+            if job.pending <= 0:
+                continue
+            allowed = min(job.pending, self._team_room(job))
+            placed = self._place(index, job, allowed) if allowed > 0 else 0
+            left = allowed - placed
+            if left > 0:
+                self.plan.unplaced[index] = left
+                self.plan.why.setdefault(index, "machines")
+                if self.plan.head is None:
+                    self._protect(index, job, left)
+            elif allowed < job.pending:
+                self.plan.why[index] = "team limit"
+        return self.plan
+
+    # -- what is allowed ------------------------------------------------------------
+
+    def _team_room(self, job: Job) -> int:
+        team = self.s.teams[job.team]
+        room = math.inf
+        if job.cpus > 0:
+            room = min(room, math.floor((team.cpus + EPSILON) / job.cpus))
+        if job.gpus > 0:
+            room = min(room, math.floor((team.gpus + EPSILON) / job.gpus))
+        return int(max(0, min(room, 100_000)))
+
+    def _zones(self, job: Job) -> Iterable[int]:
+        """Zones in which another task of the job may start at this moment."""
+        zones = range(self.s.zones) if job.zone is None else (job.zone,)
+        for zone in zones:
+            if self._zone_room(job, zone) > 0:
+                yield zone
+
+    def _zone_room(self, job: Job, zone: int) -> int:
+        # Pieces on machines whose zone isn't known may be anywhere: they count against
+        # every zone.
+        if job.one_zone and (job.lost or any(n for z, n in job.held.items() if z != zone)):
+            return 0
+        if job.spread is not None:
+            return max(0, job.spread - job.held.get(zone, 0) - job.lost)
+        return 100_000
+
+    @staticmethod
+    def _suits(job: Job, index: int, node: Node) -> bool:
+        return (
+            (job.builds is None or node.build in job.builds)
+            and (job.loaners or not node.loaner)
+            and index not in job.avoid
+        )
+
+    def _may_fetch(self, job: Job, node: Node) -> bool:
+        """Whether the image is there, on its way, or one more fetch can be booked."""
+        if job.image_gb <= 0 or job.image in node.images or job.image in node.pulling:
+            return True
+        if node.zone in self._closed_zones or len(node.pulling) >= max(self.s.node_fetches, 1):
+            return False
+        flying = self._fetches[node.zone]
+        if self.s.zone_fetches < 1:  # the start needs more than the budget
+            return flying == 0
+        return flying < self.s.zone_fetches
+
+    # -- placing --------------------------------------------------------------------
+
+    def _fetch_s(self, job: Job, node: Node) -> float:
+        if job.image_gb <= 0 or job.image in node.images:
+            return 0.0
+        rate = max(node.pull_rate, 1e-3)
+        ahead = sum(node.pulling.values())
+        if job.image in node.pulling:
+            return ahead / rate
+        return (ahead + job.image_gb) / rate
+
+    def _place(self, index: int, job: Job, wanted: int) -> int:
+        zones = set(self._zones(job))
+        choices: list[tuple[bool, float, float, int]] = []
+        fetch_blocked = False
+        for number, node in enumerate(self.s.nodes):
+            if node.ready_at > self.s.now or node.zone not in zones:
+                continue
+            if not self._suits(job, number, node):
+                continue
+            if fit(node.cpus, node.gpus, node.memory, job) < 1:
+                continue
+            if not self._may_fetch(job, node):
+                fetch_blocked = True
+                continue
+            # Machines that other waiting jobs depend on come last, then a short fetch
+            # counts, then the fullest machine: empty ones can be returned.
+            choices.append((node.rare, round(self._fetch_s(job, node), 1), node.cpus, number))
+        choices.sort()
+        if job.one_zone and not job.held and choices:
+            self._narrow(job, choices, wanted)
+        placed = 0
+        for _, _, _, number in choices:
+            if placed >= wanted:
+                break
+            placed += self._put(index, job, number, wanted - placed)
+        if fetch_blocked and placed < wanted:
+            self.plan.why[index] = "image fetch"
+            if self.plan.head is None and self.s.zone_fetches < 1:
+                # A start larger than the budget waits for its zone to be quiet.
+                self._closed_zones |= zones
+        return placed
+
+    def _narrow(self, job: Job, choices: list[tuple[bool, float, float, int]], want: int) -> None:
+        """Keep the zone that takes most of the job."""
+        room: dict[int, int] = {}
+        for *_, number in choices:
+            node = self.s.nodes[number]
+            room[node.zone] = room.get(node.zone, 0) + fit(node.cpus, node.gpus, node.memory, job)
+        best = max(room, key=lambda zone: (min(room[zone], want), -zone))
+        choices[:] = [c for c in choices if self.s.nodes[c[3]].zone == best]
+
+    def _put(self, index: int, job: Job, number: int, wanted: int) -> int:
+        node = self.s.nodes[number]
+        if not self._may_fetch(job, node):
+            return 0
+        end = self.s.now + self._fetch_s(job, node) + job.estimate
+        count = min(
+            wanted,
+            fit(node.cpus, node.gpus, node.memory, job),
+            self._zone_room(job, node.zone),
+        )
+        guard = self._guards.get(number)
+        if guard is not None:
+            count = min(count, guard.allows(job, end))
+        if count < 1:
+            return 0
+        if guard is not None:
+            guard.book(job, end, count)
+        if job.image_gb > 0 and job.image not in node.images and job.image not in node.pulling:
+            node.pulling[job.image] = job.image_gb
+            self._fetches[node.zone] += 1
+        node.cpus -= count * job.cpus
+        node.gpus -= count * job.gpus
+        node.memory -= count * job.memory
+        team = self.s.teams[job.team]
+        team.cpus -= count * job.cpus
+        team.gpus -= count * job.gpus
+        job.held[node.zone] = job.held.get(node.zone, 0) + count
+        self.plan.decisions.append(Decision(index, number, count))
+        return count
+
+    # -- the head -------------------------------------------------------------------
+
+    def _protect(self, index: int, job: Job, left: int) -> None:
+        """Work out when the head's next pieces can start, and guard that."""
+        offers: list[tuple[float, int, int]] = []  # when, node, pieces by then
+        zones = set(self._zones(job))
+        for number, node in enumerate(self.s.nodes):
+            if node.zone not in zones or not self._suits(job, number, node):
+                continue
+            cpus, gpus, memory = node.cpus, node.gpus, node.memory
+            known = fit(cpus, gpus, memory, job)
+            if known and node.ready_at <= self.s.now:
+                offers.append((self.s.now, number, known))  # it waits for a fetch there
+            elif known:
+                offers.append((node.ready_at, number, known))
+            for task in sorted(node.tasks, key=lambda t: t.end):
+                cpus, gpus, memory = cpus + task.cpus, gpus + task.gpus, memory + task.memory
+                fits = fit(cpus, gpus, memory, job)
+                if fits > known:
+                    offers.append((max(task.end, self.s.now), number, fits - known))
+                    known = fits
+        offers.sort()
+        self.plan.head = index
+        want = min(left, RESERVED_MAX)
+        last: dict[int, tuple[float, int]] = {}
+        for at, number, count in offers:
+            if want <= 0:
+                break
+            take = min(count, want)
+            want -= take
+            if self.plan.head_start is None:
+                self.plan.head_start = at
+            before = last.get(number, (at, 0))[1]
+            last[number] = (at, before + take)
+        for number, (at, count) in last.items():
+            node = self.s.nodes[number]
+            cpus, gpus, memory = node.cpus, node.gpus, node.memory
+            for task in node.tasks:
+                if task.end <= at + EPSILON:
+                    cpus, gpus, memory = cpus + task.cpus, gpus + task.gpus, memory + task.memory
+            self._guards[number] = _Guard(
+                at,
+                cpus - count * job.cpus,
+                gpus - count * job.gpus,
+                memory - count * job.memory,
+            )
+
+
+def place(snapshot: Snapshot) -> Plan:
+    """The pure placement pass: no I/O, no clock."""
+    return Pass(snapshot).run()
--- /dev/null
+++ b/spoolcourse/control/placement/model.py
@@ -0,0 +1,92 @@
+"""What the placement pass sees, and what it decides. Names are dense indices here."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+
+@dataclass(slots=True)
+class RunningTask:
+    """Holds resources until about `end`."""
+
+    end: float
+    cpus: float
+    gpus: float
+    memory: float
+
+
+@dataclass(slots=True)
+class Node:
+    """A machine. `ready_at` is in the future while it boots."""
+
+    build: int
+    zone: int
+    loaner: bool
+    cpus: float  # free now
+    gpus: float
+    memory: float
+    size: float  # CPUs in all
+    pull_rate: float
+    images: set[int] = field(default_factory=set)
+    pulling: dict[int, float] = field(default_factory=dict)  # image: GB still to come, about
+    tasks: list[RunningTask] = field(default_factory=list)
+    ready_at: float = 0.0
+    rare: bool = False  # some waiting job fits nowhere else
+
+
+@dataclass(slots=True)
+class Job:
+    """A job with pieces to place."""
+
+    pending: int
+    cpus: float
+    gpus: float
+    memory: float
+    image: int
+    image_gb: float
+    team: int
+    estimate: float
+    builds: frozenset[int] | None = None  # None: any
+    zone: int | None = None
+    loaners: bool = True
+    one_zone: bool = False
+    spread: int | None = None  # at most so many pieces in one zone
+    held: dict[int, int] = field(default_factory=dict)  # zone: pieces that may be there
+    lost: int = 0  # pieces whose machine's zone is not known
+    avoid: frozenset[int] = frozenset()  # nodes where it failed
+    arrived: float = 0.0
+
+
+@dataclass(slots=True)
+class Team:
+    cpus: float  # still free below its limit
+    gpus: float
+
+
+@dataclass(slots=True)
+class Snapshot:
+    now: float
+    jobs: list[Job]  # in the order to be served
+    nodes: list[Node]
+    teams: list[Team]
+    zones: int
+    node_fetches: int
+    zone_fetches: int
+
+
+@dataclass(slots=True)
+class Decision:
+    """So many pieces of a job on a node."""
+
+    job: int
+    node: int
+    count: int
+
+
+@dataclass(slots=True)
+class Plan:
+    decisions: list[Decision] = field(default_factory=list)
+    head: int | None = None
+    head_start: float | None = None
+    unplaced: dict[int, int] = field(default_factory=dict)  # job: pieces that need machines
+    why: dict[int, str] = field(default_factory=dict)  # job: what it waits for
--- /dev/null
+++ b/spoolcourse/control/placement/snapshot.py
@@ -0,0 +1,191 @@
+"""Turns the leader's state into the dense snapshot that the pass works on."""
+
+from __future__ import annotations
+
+from spoolcourse.control.fleet.roster import Machine, Roster
+from spoolcourse.control.jobs.works import Attempt, Work, Works
+from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
+from spoolcourse.policy.defaults import Policy
+from spoolcourse.wire.messages import Build
+from spoolcourse.wire.settings import Team as TeamSettings
+
+
+class Index:
+    """Names to dense numbers."""
+
+    def __init__(self, names: list[str] | None = None) -> None:
+        self.names: list[str] = []
+        self._numbers: dict[str, int] = {}
+        for name in names or []:
+            self.of(name)
+
+    def of(self, name: str) -> int:
+        number = self._numbers.get(name)
+        if number is None:
+            number = self._numbers[name] = len(self.names)
+            self.names.append(name)
+        return number
+
+    def __len__(self) -> int:
+        return len(self.names)
+
+
+class Surveyor:
+    """Builds snapshots; keeps the indices."""
+
+    def __init__(
+        self,
+        works: Works,
+        roster: Roster,
+        teams: list[TeamSettings],
+        zones: list[str],
+        policy: Policy,
+    ) -> None:
+        self._works = works
+        self._roster = roster
+        self._team_settings = teams
+        self._policy = policy
+        self.teams = Index([t.name for t in teams])
+        self.zones = Index(zones)
+        self.builds = Index()
+        self._images = Index()
+        self.works: list[Work] = []
+        self.machines: list[Machine] = []
+
+    def estimate(self, work: Work) -> float:
+        return work.record.sub.expectS or self._policy.default_estimate_s
+
+    def _ends(self, attempt: Attempt, now: float, fetch: float) -> float:
+        estimate = self.estimate(attempt.work)
+        elapsed = now - attempt.since
+        if attempt.stage in ("running", "flushing"):
+            # A task that overran its estimate is expected to need half again of what it
+            # took so far; else it would be due at any moment, and push the head back
+            # for ever.
+            return now + (estimate - elapsed if elapsed < estimate else elapsed * 0.5 + 1.0)
+        return now + max(fetch - elapsed, 0.5) + estimate
+
+    def take(self, now: float, builds: dict[str, Build]) -> Snapshot:
+        room = [Team(t.cpus_max, t.gpus_max) for t in self._team_settings]
+        self.works = sorted(
+            (w for w in self._works.jobs.values() if not w.record.aborted), key=lambda w: w.order
+        )
+        for work in self._works.jobs.values():
+            sub = work.record.sub
+            team = room[self.teams.of(sub.crew)]
+            team.cpus -= sub.vcpus * len(work.attempts)
+            team.gpus -= sub.gpus * len(work.attempts)
+        self.machines = []
+        nodes: list[Node] = []
+        number_of: dict[str, int] = {}
+        for machine in self._roster.machines.values():
+            build = builds.get(machine.build or "")
+            if build is None:
+                continue
+            booting = machine.heard_at is None and machine.up_at is not None
+            if booting and (machine.deleting or machine.listed == "failed"):
+                continue
+            if not booting and not (machine.placeable and machine.refuse_until <= now):
+                continue
+            node = self._node(machine, build, now)
+            if booting and machine.up_at is not None:
+                # An overdue machine comes up later than thought, or never.
+                late = max(0.0, now - machine.up_at)
+                node.ready_at = now + max(machine.up_at - now, 1.0 + late)
+            number_of[machine.id] = len(nodes)
+            nodes.append(node)
+            self.machines.append(machine)
+        jobs = [self._job(w, now, number_of) for w in self.works]
+        for work in self._strays():
+            team = room[self.teams.of(work.record.sub.crew)]
+            team.cpus -= work.record.sub.vcpus
+            team.gpus -= work.record.sub.gpus
+        return Snapshot(
+            now=now,
+            jobs=jobs,
+            nodes=nodes,
+            teams=room,
+            zones=len(self.zones),
+            node_fetches=self._policy.node_fetches,
+            zone_fetches=self._policy.zone_fetches,
+        )
+
+    def _strays(self) -> list[Work]:
+        return [
+            work
+            for machine in self._roster.machines.values()
+            for stray in machine.strays
+            if (work := self._works.jobs.get(stray[0])) is not None
+        ]
+
+    def _node(self, machine: Machine, build: Build, now: float) -> Node:
+        node = Node(
+            build=self.builds.of(build.name),
+            zone=self.zones.of(machine.yard or ""),
+            loaner=bool(machine.loaner),
+            cpus=build.vcpus,
+            gpus=build.gpus,
+            memory=build.memoryGb,
+            size=build.vcpus,
+            pull_rate=build.pullGbPerS,
+            images={self._images.of(i) for i in machine.images},
+        )
+        rate = max(build.pullGbPerS, 1e-3)
+        for attempt in machine.attempts.values():
+            sub = attempt.work.record.sub
+            if attempt.stage not in ("running", "flushing") and sub.bundle not in machine.images:
+                since = machine.pulling.get(sub.bundle, now)
+                left = max(sub.pullGb - rate * (now - since), 0.1)
+                node.pulling[self._images.of(sub.bundle)] = left
+        fetch = sum(node.pulling.values()) / rate
+        for attempt in machine.attempts.values():
+            sub = attempt.work.record.sub
+            node.cpus -= sub.vcpus
+            node.gpus -= sub.gpus
+            node.memory -= sub.memoryGb
+            node.tasks.append(
+                RunningTask(self._ends(attempt, now, fetch), sub.vcpus, sub.gpus, sub.memoryGb)
+            )
+        for job, _, _ in machine.strays:
+            work = self._works.jobs.get(job)
+            if work is not None:
+                sub = work.record.sub
+                node.cpus -= sub.vcpus
+                node.gpus -= sub.gpus
+                node.memory -= sub.memoryGb
+        return node
+
+    def _job(self, work: Work, now: float, number_of: dict[str, int]) -> Job:
+        sub = work.record.sub
+        job = Job(
+            pending=work.pending if work.retry_at <= now else 0,
+            cpus=sub.vcpus,
+            gpus=sub.gpus,
+            memory=sub.memoryGb,
+            image=self._images.of(sub.bundle),
+            image_gb=sub.pullGb,
+            team=self.teams.of(sub.crew),
+            estimate=self.estimate(work),
+            builds=None if sub.builds is None else frozenset(map(self.builds.of, sub.builds)),
+            zone=None if sub.yard is None else self.zones.of(sub.yard),
+            loaners=sub.loaners,
+            one_zone=sub.oneZone,
+            spread=-(-sub.pieces // 2) if sub.scatter else None,
+            arrived=work.waiting_since,
+        )
+        if work.bad_machines:
+            job.avoid = frozenset(number_of[m] for m in work.bad_machines if m in number_of)
+        if sub.oneZone or sub.scatter:
+            for attempt in work.attempts.values():
+                machine = self._roster.machines.get(attempt.machine)
+                if machine is None or machine.yard is None:
+                    job.lost += 1
+                else:
+                    zone = self.zones.of(machine.yard)
+                    job.held[zone] = job.held.get(zone, 0) + 1
+            for machine in self._roster.machines.values():
+                for stray in machine.strays:
+                    if stray[0] == sub.id:
+                        zone = self.zones.of(machine.yard or "")
+                        job.held[zone] = job.held.get(zone, 0) + 1
+        return job
--- /dev/null
+++ b/spoolcourse/control/reign.py
@@ -0,0 +1,309 @@
+"""What a leader does during one term; thrown away when the term is over."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from spoolcourse.control.fleet.roster import Roster
+from spoolcourse.control.jobs.book import Book
+from spoolcourse.control.jobs.records import JobRecord, Progress
+from spoolcourse.control.jobs.works import Attempt, Work, Works
+from spoolcourse.control.jobs.writer import Writer
+from spoolcourse.control.leadership.election import Leadership, Office
+from spoolcourse.control.machines.cloud import Cloud
+from spoolcourse.control.machines.keeper import Keeper, Kind
+from spoolcourse.control.machines.planner import Offer, plan_hires
+from spoolcourse.control.net import Net, Reply
+from spoolcourse.control.placement.backfill import place
+from spoolcourse.control.placement.model import Plan, Snapshot
+from spoolcourse.control.placement.snapshot import Surveyor
+from spoolcourse.control.store.client import Refused, StoreClient, Unclear
+from spoolcourse.control.store.keys import JOB, PROGRESS, split_progress
+from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.policy.defaults import Policy
+from spoolcourse.wire.messages import Build, Report
+from spoolcourse.wire.settings import Params
+
+log = logging.getLogger(__name__)
+
+
+class Reign:
+    def __init__(
+        self,
+        office: Office,
+        leadership: Leadership,
+        client: StoreClient,
+        mirror: Mirror,
+        book: Book,
+        net: Net,
+        cloud: Cloud,
+        params: Params,
+        policy: Policy,
+        builds: Callable[[], dict[str, Build]],
+        wall: Callable[[], float],
+    ) -> None:
+        self._office = office
+        self._leadership = leadership
+        self._mirror = mirror
+        self._book = book
+        self._params = params
+        self._policy = policy
+        self._builds = builds
+        self._wall = wall
+        self._clock = asyncio.get_running_loop().time
+        self._attempts = 0
+        self._wake = asyncio.Event()
+        self.ready = asyncio.Event()
+        self.works = Works()
+        self.roster = Roster(
+            self.works,
+            office.term,
+            params.workers.lease_s,
+            self._clock,
+            self._may_start,
+            self._over,
+            self._wake.set,
+        )
+        self.roster.disk_gb = self._disk_gb
+        self.writer = Writer(client, mirror, self.works, office, leadership.depose, self._wake.set)
+        self.keeper = Keeper(
+            net,
+            cloud,
+            self.roster,
+            policy,
+            builds,
+            self._clock,
+            leadership.valid,
+            params.cloud.list_lag_s,
+            params.workers.lease_s,
+            params.workers.cancel_s,
+            params.workers.report_s,
+            wall,
+        )
+        self._surveyor = Surveyor(self.works, self.roster, params.teams, params.zones, policy)
+        self._tasks: list[asyncio.Task[None]] = []
+        self.last_plan: Plan | None = None
+
+    # -- life -------------------------------------------------------------------------
+
+    def start(self) -> None:
+        self._spawn(self._take_over())
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+        self._tasks.clear()
+
+    def _spawn(self, loop: Coroutine[Any, Any, None]) -> None:
+        self._tasks.append(asyncio.get_running_loop().create_task(self._guarded(loop)))
+
+    async def _guarded(self, loop: Coroutine[Any, Any, None]) -> None:
+        try:
+            await loop
+        except Exception:
+            # A leader without one of its loops would be worse than no leader.
+            log.exception("a loop of the leader failed")
+            self._leadership.depose("a loop failed")
+
+    async def _take_over(self) -> None:
+        while not await self._mirror.sync():
+            await asyncio.sleep(0.1)
+        now = self._clock()
+        saved: dict[str, dict[int, tuple[Progress, int]]] = {}
+        orphans = []
+        for entry in self._mirror.below(PROGRESS):
+            job, chunk = split_progress(entry.key)
+            if job in self._book.live:
+                saved.setdefault(job, {})[chunk] = (Progress.from_value(entry.value), entry.stamp)
+            else:
+                orphans.append(entry.key)
+        for job, record in self._book.live.items():
+            work = self.works.restore(record, now, saved.get(job, {}))
+            for attempt in work.attempts.values():
+                self.roster.link(attempt)
+        log.info(
+            "term %d: took over %d jobs, %d attempts to find",
+            self._office.term,
+            len(self.works.jobs),
+            sum(len(w.attempts) for w in self.works.jobs.values()),
+        )
+        self.ready.set()
+        self._spawn(self.writer.run())
+        self._spawn(self.keeper.list_loop())
+        self._spawn(self.keeper.rent_loop())
+        self._spawn(self.keeper.return_loop())
+        self._spawn(self._pass_loop())
+        self._spawn(self._drain_loop())
+        if orphans:
+            self._spawn(self._sweep(orphans))
+
+    async def _sweep(self, orphans: list[str]) -> None:
+        try:
+            await self.writer.sweep(orphans)
+        except (Refused, Unclear) as exc:
+            log.info("progress of finished jobs is left for the next term: %s", exc)
+
+    # -- what may be done ---------------------------------------------------------------
+
+    def _may_start(self) -> bool:
+        return self._leadership.valid()
+
+    def _over(self, job: str) -> bool:
+        """True if the job can't be live: every start was preceded by its record."""
+        return self.ready.is_set() and job not in self._book.live and job not in self.works.jobs
+
+    def _disk_gb(self, build: str) -> float:
+        known = self._builds().get(build)
+        return known.localGb if known else 0.0
+
+    # -- changes of jobs ------------------------------------------------------------------
+
+    def on_change(self, key: str, value: Any, stamp: int) -> None:
+        if not key.startswith(JOB) or not self.ready.is_set():
+            return
+        job = key[len(JOB) :]
+        record = self._book.live.get(job)
+        work = self.works.jobs.get(job)
+        if record is None:
+            return
+        if work is None:
+            self.works.add(record, self._clock())
+        else:
+            self._update(work, record)
+        self._wake.set()
+
+    def _update(self, work: Work, record: JobRecord) -> None:
+        was_aborted = work.record.aborted
+        work.record = record
+        if record.aborted and not was_aborted:
+            for attempt in list(work.attempts.values()):
+                if attempt.stage == "assigned" and attempt.sent is None:
+                    self.roster.drop(attempt)  # never sent, and won't be
+            self.works.check(work)
+
+    # -- workers ------------------------------------------------------------------------
+
+    async def report(self, report: Report) -> Reply:
+        if report.baton > self._office.term:
+            self._leadership.depose(f"{report.spindle} has seen term {report.baton}")
+            return Reply(503, {"error": "deposed"})
+        if not self.ready.is_set():
+            return Reply(503, {"error": "taking over"})
+        orders = self.roster.accept(report)
+        return Reply(200, {"baton": self._office.term, "orders": orders})
+
+    # -- passes -------------------------------------------------------------------------
+
+    async def _pass_loop(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(self._policy.pass_period_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            cost = 0.0
+            if self._may_start():
+                began = time.process_time()
+                self._run_pass()
+                cost = time.process_time() - began
+            # Rounds widen with the load: a pass takes at most a fifth of the time.
+            await asyncio.sleep(max(self._policy.pass_gap_s, 4 * cost))
+
+    def _run_pass(self) -> None:
+        now = self._clock()
+        builds = self._builds()
+        if not builds:
+            return
+        snapshot = self._surveyor.take(now, builds)
+        room = [team.cpus for team in snapshot.teams]
+        plan = place(snapshot)
+        self.last_plan = plan
+        for decision in plan.decisions:
+            work = self._surveyor.works[decision.job]
+            machine = self._surveyor.machines[decision.node]
+            pieces = work.candidates()
+            chosen = [p for _, p in zip(range(decision.count), pieces, strict=False)]
+            for piece in chosen:
+                self._attempts += 1
+                number = (self._office.term << 24) + self._attempts
+                attempt = self.works.assign(work, piece, machine.id, number, now)
+                self.roster.link(attempt)
+            log.debug("%s: %d pieces to %s", work.id, len(chosen), machine.id)
+        self._plan_machines(snapshot, plan, room, now, builds)
+
+    def _plan_machines(
+        self,
+        snapshot: Snapshot,
+        plan: Plan,
+        room: list[float],
+        now: float,
+        builds: dict[str, Build],
+    ) -> None:
+        if not plan.unplaced or self.keeper.wanted or self.keeper.renting:
+            return
+        offers = [
+            Offer(
+                self._surveyor.builds.of(b.name),
+                self._surveyor.zones.of(yard),
+                loaner,
+                b.vcpus,
+                b.gpus,
+                b.memoryGb,
+                b.marketPrice if loaner else b.hourly,
+                b.startupS,
+            )
+            for b in builds.values()
+            for yard in b.yards
+            if yard in self._params.zones
+            for loaner in (True, False)
+            if self.keeper.open_for_hire(Kind(b.name, yard, loaner))
+        ]
+        demand = [(snapshot.jobs[i], count) for i, count in plan.unplaced.items()]
+        hires = plan_hires(demand, snapshot.nodes, offers, now, self._policy.ordinary_wait_s, room)
+        if hires:
+            self.keeper.wanted = [
+                (
+                    Kind(
+                        self._surveyor.builds.names[h.offer.build],
+                        self._surveyor.zones.names[h.offer.zone],
+                        h.offer.loaner,
+                    ),
+                    h.count,
+                )
+                for h in hires
+            ]
+            self.keeper.wake.set()
+
+    # -- machines about to be taken -------------------------------------------------------
+
+    async def _drain_loop(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            now = self._clock()
+            for machine in list(self.roster.machines.values()):
+                if machine.recall_at is None:
+                    continue
+                left = machine.recall_at - now
+                for attempt in list(machine.attempts.values()):
+                    self._drain(attempt, left, now)
+
+    def _drain(self, attempt: Attempt, left: float, now: float) -> None:
+        """A notice: save what can be saved at the last moment, and don't wait for what
+        can't be finished."""
+        if attempt.halting:
+            return
+        if attempt.stage == "assigned":
+            if attempt.sent is None:
+                self.roster.drop(attempt)
+            return
+        sub = attempt.work.record.sub
+        if sub.markEveryS > 0:
+            attempt.halting = left < sub.markCostS + 2 * self._params.workers.report_s + 1.0
+            return
+        elapsed = now - attempt.since if attempt.stage == "running" else 0.0
+        attempt.halting = self._surveyor.estimate(attempt.work) - elapsed > 1.5 * left
--- /dev/null
+++ b/spoolcourse/control/service.py
@@ -0,0 +1,230 @@
+"""One controller: the slices put together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import urlsplit
+
+from spoolcourse.control.intake.api import PATH, Intake, later
+from spoolcourse.control.jobs.book import Book
+from spoolcourse.control.leadership.election import Leadership, Office
+from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
+from spoolcourse.control.net import Net, NetError, Reply, Request
+from spoolcourse.control.reign import Reign
+from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
+from spoolcourse.control.store.keys import CATALOG, PREFIX
+from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.policy.defaults import Policy
+from spoolcourse.wire.messages import Build, Catalog, Malformed, parse, parse_report
+from spoolcourse.wire.settings import Settings
+
+log = logging.getLogger(__name__)
+
+
+class Controller:
+    def __init__(
+        self,
+        settings: Settings,
+        net: Net,
+        policy: Policy | None = None,
+        wall: Callable[[], float] = time.time,
+        run_id: str | None = None,
+    ) -> None:
+        params = settings.settings
+        self._settings = settings
+        self._net = net
+        self._policy = policy or Policy()
+        self._wall = wall
+        self._clock = asyncio.get_running_loop().time
+        nodes = len(settings.seeds) + 1
+        self.client = StoreClient(net, settings.outside.state, params.state, nodes)
+        self.mirror = Mirror(self.client, PREFIX)
+        self.book = Book(self.client, self.mirror)
+        self.cloud = Cloud(net, settings.outside.cloud, params.cloud.rps)
+        run = run_id or f"{random.getrandbits(64):016x}"
+        self.leadership = Leadership(self.client, self.mirror, settings.label, run)
+        self.leadership.on_elected = self._elected
+        self.leadership.on_deposed = self._deposed
+        self.builds: dict[str, Build] = {}
+        self.intake = Intake(
+            self.book,
+            self.mirror,
+            self.client,
+            net,
+            settings.seeds,
+            params,
+            lambda: self.builds,
+            wall,
+            lambda: self.leadership.foreman,
+        )
+        self.reign: Reign | None = None
+        self.mirror.listen(self._on_change)
+        self._tasks: list[asyncio.Task[None]] = []
+        self._ready = False
+        self._healthy = True
+        self._served_at = float("-inf")
+
+    # -- life -------------------------------------------------------------------------
+
+    def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        for coro in (
+            self.mirror.run(),
+            self.leadership.run(),
+            self._catalog_loop(),
+            self._health_loop(),
+        ):
+            self._tasks.append(loop.create_task(coro))
+
+    def stop(self) -> None:
+        if self.reign is not None:
+            self.reign.stop()
+        for task in self._tasks:
+            task.cancel()
+
+    async def run(self) -> None:
+        """Until something breaks that can't be put right in here."""
+        self.start()
+        await asyncio.gather(*self._tasks)
+
+    def _elected(self, office: Office) -> None:
+        self.reign = Reign(
+            office,
+            self.leadership,
+            self.client,
+            self.mirror,
+            self.book,
+            self._net,
+            self.cloud,
+            self._settings.settings,
+            self._policy,
+            lambda: self.builds,
+            self._wall,
+        )
+        self.reign.start()
+
+    def _deposed(self) -> None:
+        if self.reign is not None:
+            self.reign.stop()
+            self.reign = None
+
+    def _on_change(self, key: str, value: Any, stamp: int) -> None:
+        if key == CATALOG and value is not None and not self.builds:
+            try:
+                self._take_catalog(parse(value, Catalog))
+            except Malformed as exc:
+                log.error("stored catalog: %s", exc)
+        if self.reign is not None:
+            self.reign.on_change(key, value, stamp)
+
+    # -- catalog ------------------------------------------------------------------------
+
+    def _take_catalog(self, catalog: Catalog) -> None:
+        self.builds = {b.name: b for b in catalog.builds}
+
+    async def _catalog_loop(self) -> None:
+        """Machine types and prices. The types are kept in the state service as well, so
+        that a node that starts while the cloud is out can take submissions."""
+        while True:
+            try:
+                catalog = await self.cloud.catalog()
+                self._take_catalog(catalog)
+                await self._store_catalog(catalog)
+                pause = 20.0 if self.leadership.office else 60.0
+            except (CloudError, NoCapacity) as exc:
+                log.info("catalog: %s", exc)
+                pause = 1.0
+            except (Refused, Unclear) as exc:
+                log.debug("catalog not stored: %s", exc)
+                pause = 5.0
+            await asyncio.sleep(pause * random.uniform(0.8, 1.2))
+
+    async def _store_catalog(self, catalog: Catalog) -> None:
+        if not self.leadership.valid():
+            return
+        fixed = [
+            {f: getattr(b, f) for f in b.__struct_fields__}
+            for b in sorted(catalog.builds, key=lambda b: b.name)
+        ]
+        entry = self.mirror.get(CATALOG)
+        if entry is not None:
+            old = {b["name"] for b in entry.value["builds"]}
+            if old == {b["name"] for b in fixed}:
+                return
+        value = {"builds": fixed}
+        outcome = await self.client.txn(
+            {CATALOG: entry.stamp if entry else 0}, [Put(CATALOG, value)]
+        )
+        if outcome.ok:
+            self.mirror.apply(CATALOG, value, outcome.ledger)
+
+    # -- health -------------------------------------------------------------------------
+
+    async def _health_loop(self) -> None:
+        """Healthy: requests can be answered, here or by a peer. When nobody reaches the
+        state service all nodes stay healthy: taking them out would only lengthen the
+        outage for the users."""
+        while True:
+            await asyncio.sleep(1.0)
+            if self.mirror.loaded.is_set() and self.builds:
+                self._ready = True
+            if not self._ready:
+                continue
+            if self._clock() - self.mirror.synced_at < 2.0 or await self.mirror.sync(1.0):
+                self._healthy = True
+                continue
+            answers = await asyncio.gather(
+                *(self._ask_peer(seed.endpoint) for seed in self._settings.seeds)
+            )
+            self._healthy = not self._settings.seeds or any(answers)
+
+    async def _ask_peer(self, endpoint: str) -> bool:
+        try:
+            reply = await self._net.call(endpoint, "GET", "/healthz", timeout=1.0)
+        except NetError:
+            return False
+        return reply.status == 200
+
+    # -- requests -----------------------------------------------------------------------
+
+    async def public(self, request: Request) -> Reply:
+        """Users, workers and health checks."""
+        path = urlsplit(request.path).path
+        if path == "/v1/report" and request.method == "POST":
+            return await self._report(request.body)
+        if path == "/healthz":
+            ok = self._ready and self._healthy
+            return Reply(200 if ok else 503, {"ok": ok})
+        if path == PATH or path.startswith(PATH + "/"):
+            if not self._ready:
+                return later("starting")
+            return await self.intake.handle(request)
+        return Reply(404, {"error": "no such resource"})
+
+    async def peers(self, request: Request) -> Reply:
+        """Other controllers: what they pass on goes no further."""
+        path = urlsplit(request.path).path
+        if path == "/healthz":
+            return Reply(200 if self._ready else 503, {})
+        if path == PATH or path.startswith(PATH + "/"):
+            if not self._ready:
+                return later("starting")
+            return await self.intake.handle(request, hop=True)
+        return Reply(404, {"error": "no such resource"})
+
+    async def _report(self, raw: bytes) -> Reply:
+        try:
+            report = parse_report(raw)
+        except Malformed as exc:
+            return Reply(400, {"error": str(exc)})
+        if self.reign is not None:
+            return await self.reign.report(report)
+        foreman = self.leadership.foreman
+        if foreman is not None and foreman != self._settings.label:
+            return Reply(421, {"foreman": foreman})
+        return Reply(421, {})
--- /dev/null
+++ b/spoolcourse/control/store/client.py
@@ -0,0 +1,196 @@
+"""The state service's protocol. Unclear answers are never taken for a yes or a no."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+from spoolcourse.control.net import Net, NetError, Reply
+from spoolcourse.control.store.budget import Bucket
+from spoolcourse.wire.settings import State
+
+PAGE = 1000
+
+
+class Refused(Exception):
+    """The request was not carried out (429, 503, or no such lease)."""
+
+
+class Unclear(Exception):
+    """The request may have been carried out, or may still be."""
+
+
+class LeaseGone(Exception):
+    """The state service no longer knows the lease."""
+
+
+class Compacted(Exception):
+    """The watch's revision is too old: read the keys again."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    key: str
+    value: Any
+    stamp: int
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A change of a key; `value` is None when the key was deleted."""
+
+    key: str
+    value: Any
+    stamp: int
+
+
+@dataclass(frozen=True, slots=True)
+class Put:
+    key: str
+    value: Any
+    lease: int | None = None
+
+    def wire(self) -> dict[str, Any]:
+        op: dict[str, Any] = {"set": self.key, "v": self.value}
+        if self.lease is not None:
+            op["hold"] = self.lease
+        return op
+
+
+@dataclass(frozen=True, slots=True)
+class Delete:
+    key: str
+
+    def wire(self) -> dict[str, Any]:
+        return {"delete": self.key}
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """A transaction's clear answer. `failed` names the conditions that did not hold."""
+
+    ok: bool
+    ledger: int
+    failed: tuple[str, ...] = ()
+
+
+def _changes(log: list[dict[str, Any]]) -> list[Change]:
+    return [
+        Change(e["set"], e["v"], e["stamp"])
+        if "set" in e
+        else Change(e["delete"], None, e["stamp"])
+        for e in log
+    ]
+
+
+class StoreClient:
+    """Requests to the state service within this node's share of its limits."""
+
+    def __init__(self, net: Net, addr: str, limits: State, nodes: int, timeout: float = 1.0):
+        self._net = net
+        self._addr = addr
+        self.limits = limits
+        self.timeout = timeout
+        # The limits are for all nodes together. The leader writes most, so its share of
+        # writes is larger; shares add up to less than the whole.
+        self._requests = Bucket(limits.rps / (nodes + 0.5), limits.rps / (nodes + 0.5))
+        self._nodes = nodes
+        self._writes = Bucket(1.0, 1.0)
+        self.set_leader(False)
+
+    def set_leader(self, leading: bool) -> None:
+        share = 0.5 if leading else 0.4 / max(self._nodes - 1, 1)
+        rate = self.limits.write_rps * share
+        self._writes.rate = rate
+        self._writes.burst = max(rate, 1.0)
+
+    async def _call(
+        self, method: str, path: str, body: Any = None, *, urgent: bool = False, wait: float = 0.0
+    ) -> Reply:
+        await self._requests.take(urgent=urgent)
+        try:
+            reply = await self._net.call(
+                self._addr, method, path, body, timeout=self.timeout + wait
+            )
+        except NetError as exc:
+            raise Unclear(str(exc)) from exc
+        if reply.status == 429:
+            self._requests.drain()
+            raise Refused("429")
+        if reply.status == 503:
+            raise Refused("503")
+        if reply.status >= 500:
+            raise Unclear(f"{method} {path}: status {reply.status}")
+        return reply
+
+    async def get(self, key: str) -> Entry | None:
+        reply = await self._call("GET", f"/kv/{key}")
+        if reply.status == 404:
+            return None
+        if reply.status != 200:
+            raise Unclear(f"get {key}: status {reply.status}")
+        return Entry(key, reply.data["v"], reply.data["stamp"])
+
+    async def read_all(self, prefix: str) -> tuple[list[Entry], int]:
+        """All keys with the prefix, and the revision of the first page: changes made while
+        later pages were read come again with a watch from there."""
+        entries: list[Entry] = []
+        ledger, since = -1, ""
+        while True:
+            path = f"/kv?prefix={quote(prefix)}&page={PAGE}"
+            if since:
+                path += f"&since={quote(since)}"
+            reply = await self._call("GET", path)
+            if reply.status != 200:
+                raise Unclear(f"list {prefix}: status {reply.status}")
+            if ledger < 0:
+                ledger = reply.data["ledger"]
+            entries += [Entry(p["k"], p["v"], p["stamp"]) for p in reply.data["pairs"]]
+            if not reply.data["hasNext"] or not reply.data["pairs"]:
+                return entries, ledger
+            since = entries[-1].key
+
+    async def txn(
+        self,
+        conditions: dict[str, int],
+        ops: list[Put | Delete] | None = None,
+        *,
+        urgent: bool = False,
+    ) -> Outcome:
+        body: dict[str, Any] = {"if": [{"k": k, "stamp": s} for k, s in conditions.items()]}
+        if ops:
+            await self._writes.take(len(ops), urgent=urgent)
+            body["apply"] = [op.wire() for op in ops]
+        reply = await self._call("POST", "/multi", body, urgent=urgent)
+        if reply.status == 200:
+            return Outcome(True, reply.data["ledger"])
+        if reply.status == 409:
+            return Outcome(False, reply.data["ledger"], tuple(reply.data["failed"]))
+        if reply.status == 400 and reply.data and reply.data.get("error") == "no such lease":
+            raise LeaseGone
+        raise Refused(f"txn: status {reply.status}: {reply.data}")
+
+    async def grant(self, ttl_s: float) -> int:
+        reply = await self._call("POST", "/holds", {"ttlMs": int(ttl_s * 1000)}, urgent=True)
+        if reply.status != 200:
+            raise Refused(f"grant: status {reply.status}")
+        return int(reply.data["hold"])
+
+    async def renew(self, lease: int) -> None:
+        reply = await self._call("POST", f"/holds/{lease}/touch", urgent=True)
+        if reply.status == 404:
+            raise LeaseGone
+        if reply.status != 200:
+            raise Unclear(f"renew: status {reply.status}")
+
+    async def watch(
+        self, prefix: str, since: int, block_s: float, *, urgent: bool = False
+    ) -> tuple[int, list[Change]]:
+        path = f"/watch?prefix={quote(prefix)}&since={since}&blockMs={int(block_s * 1000)}"
+        reply = await self._call("GET", path, wait=block_s, urgent=urgent)
+        if reply.status == 410:
+            raise Compacted
+        if reply.status != 200:
+            raise Unclear(f"watch: status {reply.status}")
+        return reply.data["ledger"], _changes(reply.data["log"])
--- /dev/null
+++ b/spoolcourse/control/store/keys.py
@@ -0,0 +1,27 @@
+"""Names of the keys in the state service."""
+
+PREFIX = "spoolcourse/"
+LIVE = PREFIX + "live/"
+LEADER = LIVE + "leader"
+TERM = LIVE + "term"
+CATALOG = LIVE + "catalog"
+JOB = LIVE + "job/"
+PROGRESS = LIVE + "prog/"
+FINAL = PREFIX + "fin/"
+
+
+def job_key(job: str) -> str:
+    return JOB + job
+
+
+def final_key(job: str) -> str:
+    return FINAL + job
+
+
+def progress_key(job: str, chunk: int) -> str:
+    return f"{PROGRESS}{job}/{chunk}"
+
+
+def split_progress(key: str) -> tuple[str, int]:
+    job, _, chunk = key[len(PROGRESS) :].partition("/")
+    return job, int(chunk)
--- /dev/null
+++ b/spoolcourse/control/store/mirror.py
@@ -0,0 +1,154 @@
+"""A copy of the live keys, kept warm by a watch and made current on request.
+
+`sync` is the read barrier of every node: after it, the copy holds every change that
+was made before the call. One request serves all callers that wait at the time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from spoolcourse.control.store.client import Compacted, Entry, Refused, StoreClient, Unclear
+
+log = logging.getLogger(__name__)
+
+Listener = Callable[[str, Any, int], None]
+
+
+class Mirror:
+    """Keys below `prefix + "live/"`; changes elsewhere below `prefix` go to listeners only."""
+
+    def __init__(self, client: StoreClient, prefix: str, block_s: float = 10.0) -> None:
+        self._client = client
+        self.prefix = prefix
+        self.live = prefix + "live/"
+        self._block_s = block_s
+        self._entries: dict[str, Entry] = {}
+        self._graves: dict[str, int] = {}  # keys deleted ahead of the watch
+        self._listeners: list[Listener] = []
+        self.ledger = -1
+        self.synced_at = float("-inf")  # a call sent then has been answered
+        self.loaded = asyncio.Event()
+        self._sync_waiters: list[asyncio.Future[None]] = []
+        self._sync_task: asyncio.Task[None] | None = None
+        self.sync_gap_s = 0.1
+
+    def listen(self, listener: Listener) -> None:
+        self._listeners.append(listener)
+
+    def get(self, key: str) -> Entry | None:
+        return self._entries.get(key)
+
+    def below(self, prefix: str) -> list[Entry]:
+        return [e for k, e in self._entries.items() if k.startswith(prefix)]
+
+    def stamp(self, key: str) -> int:
+        entry = self._entries.get(key)
+        return entry.stamp if entry else 0
+
+    def apply(self, key: str, value: Any, stamp: int) -> None:
+        """Take over one change; older ones than what is known change nothing."""
+        entry = self._entries.get(key)
+        if stamp <= max(entry.stamp if entry else 0, self._graves.get(key, 0)):
+            return
+        if key.startswith(self.live):
+            if value is None:
+                self._entries.pop(key, None)
+                if stamp > self.ledger:
+                    self._graves[key] = stamp
+            else:
+                self._graves.pop(key, None)
+                self._entries[key] = Entry(key, value, stamp)
+        for listener in self._listeners:
+            listener(key, value, stamp)
+
+    def _advance(self, ledger: int, changes: list[Any]) -> None:
+        for change in changes:
+            # The ranges of a watch and of a sync overlap: a set that we have seen
+            # deleted must not come back.
+            if change.stamp > self.ledger:
+                self.apply(change.key, change.value, change.stamp)
+        if ledger > self.ledger:
+            self.ledger = ledger
+            if self._graves:
+                self._graves = {k: s for k, s in self._graves.items() if s > ledger}
+
+    async def load(self) -> None:
+        """Read all live keys afresh; keys that are gone are reported as deleted."""
+        start = asyncio.get_running_loop().time()
+        entries, ledger = await self._client.read_all(self.live)
+        present = {e.key for e in entries}
+        for key in [k for k, e in self._entries.items() if k not in present and e.stamp <= ledger]:
+            self.apply(key, None, max(ledger, self._entries[key].stamp + 1))
+        for entry in entries:
+            self.apply(entry.key, entry.value, entry.stamp)
+        self._advance(ledger, [])
+        self.synced_at = start
+        self.loaded.set()
+
+    async def run(self) -> None:
+        """Keep the copy warm until cancelled."""
+        loop = asyncio.get_running_loop()
+        delay = 0.1
+        while True:
+            try:
+                if not self.loaded.is_set():
+                    await self.load()
+                start = loop.time()
+                ledger, changes = await self._client.watch(
+                    self.prefix, self.ledger, self._block_s, urgent=True
+                )
+                self._advance(ledger, changes)
+                self.synced_at = max(self.synced_at, start)
+                delay = 0.1
+            except Compacted:
+                log.info("watch fell behind; reading all keys again")
+                self.loaded.clear()
+            except (Refused, Unclear) as exc:
+                log.debug("watch: %s", exc)
+                await asyncio.sleep(delay * random.uniform(0.5, 1.0))
+                delay = min(delay * 2, 1.0)
+
+    async def sync(self, timeout: float = 1.5) -> bool:
+        """True once the copy is as new as this call; False if that can't be had in time."""
+        if not self.loaded.is_set():
+            return False
+        loop = asyncio.get_running_loop()
+        waiter: asyncio.Future[None] = loop.create_future()
+        self._sync_waiters.append(waiter)
+        if self._sync_task is None or self._sync_task.done():
+            self._sync_task = loop.create_task(self._serve_syncs())
+        try:
+            async with asyncio.timeout(timeout):
+                await waiter
+        except (TimeoutError, Refused, Unclear):
+            return False
+        return True
+
+    async def _serve_syncs(self) -> None:
+        loop = asyncio.get_running_loop()
+        while self._sync_waiters:
+            batch, self._sync_waiters = self._sync_waiters, []
+            start = loop.time()
+            try:
+                ledger, changes = await self._client.watch(self.prefix, self.ledger, 0.0)
+                self._advance(ledger, changes)
+                self.synced_at = max(self.synced_at, start)
+                error: Exception | None = None
+            except Compacted:
+                self.loaded.clear()
+                error = Unclear("watch fell behind")
+            except (Refused, Unclear) as exc:
+                error = exc
+            for waiter in batch:
+                if not waiter.done():
+                    if error is None:
+                        waiter.set_result(None)
+                    else:
+                        waiter.set_exception(error)
+            # Under load, wait a little so that one request answers more callers.
+            await asyncio.sleep(self.sync_gap_s)
--- /dev/null
+++ b/spoolcourse/wire/settings.py
@@ -0,0 +1,128 @@
+"""The settings file that the platform hands over, checked field by field."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+import orjson
+
+from spoolcourse.errors import UserError
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+Amount = Annotated[float, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class Seed(msgspec.Struct, frozen=True):
+    """Another controller."""
+
+    label: str
+    endpoint: str
+    site: str = ""
+
+
+class Outside(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: Amount = 0.0
+    cpus_max: Amount = 0.0
+    gpus: Amount = 0.0
+    gpus_max: Amount = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True):
+    """What is expected of a class of jobs, or of work within a guarantee."""
+
+    kind: str
+    lane: str = msgspec.field(default="", name="class")
+    share: float = 0.0
+    within_s: float = 0.0
+    times: float = 0.0
+
+
+class Workers(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class State(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Count
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: Amount
+
+
+class Params(msgspec.Struct, frozen=True):
+    zones: list[str]
+    teams: list[Team]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    objectives: list[Objective] = []
+    skew_ms: Amount = 0.0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    label: str
+    listen: str
+    cluster_listen: str
+    seeds: list[Seed]
+    outside: Outside
+    settings: Params
+    site: str = ""
+
+
+def split_address(text: str, field: str) -> tuple[str, int]:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) <= 65535:
+        raise UserError(f"settings: {field}: {text!r} is not HOST:PORT")
+    return host, int(port)
+
+
+def parse_settings(raw: bytes, source: str) -> Settings:
+    """Check the settings; the error names the first field that is missing or wrong."""
+    try:
+        data = orjson.loads(raw)
+    except orjson.JSONDecodeError as exc:
+        raise UserError(f"{source}: not JSON: {exc}") from exc
+    try:
+        settings = msgspec.convert(data, Settings)
+    except msgspec.ValidationError as exc:
+        raise UserError(f"{source}: settings: {exc}") from exc
+    for field, text in (
+        ("listen", settings.listen),
+        ("cluster_listen", settings.cluster_listen),
+        ("outside.cloud", settings.outside.cloud),
+        ("outside.state", settings.outside.state),
+        *((f"seeds[{i}].endpoint", seed.endpoint) for i, seed in enumerate(settings.seeds)),
+    ):
+        split_address(text, field)
+    labels = [settings.label, *(seed.label for seed in settings.seeds)]
+    if "" in labels or len(set(labels)) != len(labels):
+        raise UserError(f"{source}: settings: seeds: labels must be distinct and not empty")
+    if not settings.settings.zones:
+        raise UserError(f"{source}: settings: settings.zones: must not be empty")
+    names = [team.name for team in settings.settings.teams]
+    if len(set(names)) != len(names):
+        raise UserError(f"{source}: settings: settings.teams: names must be distinct")
+    return settings
+
+
+def load_settings(path: str) -> Settings:
+    try:
+        raw = Path(path).read_bytes()
+    except OSError as exc:
+        raise UserError(f"{path}: cannot be read: {exc.strerror}") from exc
+    return parse_settings(raw, path)
