--- a/spoolcourse/control/net.py
+++ b/spoolcourse/control/net.py
@@ -90,13 +90,24 @@
             await self._session.close()
 
 
+async def _read(request: web.BaseRequest) -> bytes | None:
+    """The body, or None if it is longer than the protocol allows."""
+    if (request.content_length or 0) > BODY_LIMIT:
+        return None
+    body = b""
+    while chunk := await request.content.readany():
+        body += chunk
+        if len(body) > BODY_LIMIT:
+            return None
+    return body
+
+
 async def listen(addr: tuple[str, int], handler: Handler) -> asyncio.Server:
     """Serve `handler` on an address; any failure inside becomes a 503 to retry."""
 
     async def serve(request: web.BaseRequest) -> web.Response:
-        try:
-            body = await request.read()
-        except web.HTTPRequestEntityTooLarge:
+        body = await _read(request)
+        if body is None:
             return web.Response(status=413, body=b'{"error":"body too large"}')
         try:
             reply = await handler(Request(request.method, request.path_qs, body))
@@ -110,7 +121,7 @@
             content_type="application/json",
         )
 
-    server = web.Server(serve, access_log=None, keepalive_timeout=60.0, client_max_size=BODY_LIMIT)
+    server = web.Server(serve, access_log=None, keepalive_timeout=60.0)
     return await asyncio.get_running_loop().create_server(
         server, addr[0], addr[1], reuse_address=True, backlog=512
     )
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -16,7 +16,7 @@
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
-Token = Annotated[int, msgspec.Meta(ge=0, lt=2**63)]
+Token = Annotated[int, msgspec.Meta(ge=0)]
 Seconds = Annotated[float, msgspec.Meta(ge=0)]
 
 
