--- /dev/null
+++ b/tests/fakes/cloud.py
@@ -0,0 +1,242 @@
+"""The cloud and its workers, from their protocols. Broken rules are noted."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+from spoolcourse.control.net import NetError, Reply
+from tests.fakes.net import FakeWire, HostNet
+
+BUILD = {
+    "name": "c8",
+    "vcpus": 8.0,
+    "gpus": 0.0,
+    "memoryGb": 32.0,
+    "localGb": 50.0,
+    "pullGbPerS": 1.0,
+    "hourly": 1.0,
+    "marketPrice": 0.3,
+    "startupS": 10.0,
+    "yards": ["a", "b"],
+}
+
+
+class Task:
+    def __init__(self, name: str, number: int) -> None:
+        self.name, self.number = name, number
+        self.stage, self.cause = "pulling", None
+        self.started: float | None = None
+
+    @property
+    def on(self) -> bool:
+        return self.stage in ("running", "flushing")
+
+    def wire(self) -> dict[str, Any]:
+        entry: dict[str, Any] = {"piece": self.name, "try": self.number, "stage": self.stage}
+        if self.cause:
+            entry["cause"] = self.cause
+        return entry
+
+
+class FakeWorker:
+    """A machine's worker: one report in flight, drops what the protocol says it drops."""
+
+    def __init__(self, cloud: FakeCloud, name: str, host: dict[str, Any]) -> None:
+        self.cloud, self.name, self.host = cloud, name, host
+        self.shift, self.tick, self.baton = 1, 0, 0
+        self.tasks: dict[tuple[str, int], Task] = {}
+        self.renewed = asyncio.get_running_loop().time()
+        self.recall: float | None = None
+        self.node = 0
+        self.alive = True
+        self.net: HostNet = cloud.wire.end_of(name)
+        self._changed = asyncio.Event()
+        cloud.wire.hosts[host["address"]] = self.serve
+        self.loops = [asyncio.create_task(self._report()), asyncio.create_task(self._tick())]
+
+    def die(self) -> None:
+        self.alive = False
+        self.tasks.clear()
+        self.cloud.wire.hosts.pop(self.host["address"], None)
+        for loop in self.loops:
+            loop.cancel()
+
+    def report(self) -> dict[str, Any]:
+        self.tick += 1
+        return {
+            "spindle": self.name,
+            "address": self.host["address"],
+            "build": self.host["build"],
+            "yard": self.host["yard"],
+            "loaners": self.host["loaners"],
+            "shift": self.shift,
+            "tick": self.tick,
+            "baton": self.baton,
+            "recallS": self.recall,
+            "pieces": [t.wire() for t in self.tasks.values()],
+        }
+
+    def execute(self, orders: list[dict[str, Any]]) -> None:
+        for order in orders:
+            key = (order["piece"], order["try"])
+            task = self.tasks.get(key)
+            if order["verb"] == "start" and task is None:
+                self.tasks[key] = Task(*key)
+                asyncio.create_task(self._run(self.tasks[key], self.shift))
+            elif order["verb"] == "halt" and task is not None and task.stage != "ended":
+                task.stage, task.cause = "ended", "halted"
+            elif order["verb"] == "reap" and task is not None and task.stage == "ended":
+                del self.tasks[key]
+        self._changed.set()
+
+    async def _run(self, task: Task, shift: int) -> None:
+        await asyncio.sleep(self.cloud.pull_s)
+        if self._mine(task, shift) and task.stage == "pulling":
+            task.stage = "running"
+            self.cloud.started(self, task)
+            self._changed.set()
+            await asyncio.sleep(self.cloud.run_s(task.name))
+            if self._mine(task, shift) and task.stage == "running":
+                task.stage, task.cause = "ended", self.cloud.cause(self, task)
+                self._changed.set()
+
+    def _mine(self, task: Task, shift: int) -> bool:
+        return self.alive and shift == self.shift and task in self.tasks.values()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(0.1)
+            if asyncio.get_running_loop().time() - self.renewed > self.cloud.lease_s:
+                self.shift += 1
+                self.tasks.clear()
+                self.renewed = asyncio.get_running_loop().time()
+                self._changed.set()
+
+    async def _report(self) -> None:
+        nodes = self.cloud.nodes
+        while True:
+            sent, shift = asyncio.get_running_loop().time(), self.shift
+            self._changed.clear()
+            try:
+                reply = await self.net.call(
+                    nodes[self.node][1], "POST", "/v1/report", self.report(), timeout=4.0
+                )
+            except NetError:
+                reply = Reply(0)
+            if reply.status == 200:
+                baton = (reply.data or {}).get("baton", 0)
+                if shift == self.shift and baton >= self.baton:
+                    if baton > self.baton:
+                        self._changed.set()
+                    self.baton, self.renewed = baton, sent
+                    self.execute(reply.data["orders"])
+            else:
+                labels = [label for label, _ in nodes]
+                foreman = (reply.data or {}).get("foreman")
+                if reply.status == 421 and foreman in labels and foreman != labels[self.node]:
+                    self.node = labels.index(foreman)
+                else:
+                    self.node = (self.node + 1) % len(nodes)
+                    await asyncio.sleep(1.0)
+                continue
+            await asyncio.sleep(0.5)
+            try:
+                async with asyncio.timeout(self.cloud.report_s - 0.5):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+
+    async def serve(self, method: str, path: str, body: Any) -> Reply:
+        if path == "/show":
+            return Reply(200, self.report())
+        if "baton" not in body or "shift" not in body:
+            return Reply(400, {})
+        if body["baton"] < self.baton or body["shift"] != self.shift:
+            return Reply(409, self.report())
+        if body["baton"] > self.baton:
+            self._changed.set()
+        self.baton = body["baton"]
+        self.execute(body["orders"])
+        return Reply(200, self.report())
+
+
+class FakeCloud:
+    def __init__(self, wire: FakeWire, nodes: list[tuple[str, str]]) -> None:
+        self.wire, self.nodes = wire, nodes
+        self.workers: dict[str, FakeWorker] = {}
+        self.hosts: dict[str, dict[str, Any]] = {}
+        self.hires: dict[str, list[str]] = {}
+        self.capacity = 50
+        self.lease_s, self.report_s, self.pull_s, self.boot_s = 10.0, 1.5, 1.0, 5.0
+        self.run_s: Callable[[str], float] = lambda task: 10.0
+        self.cause: Callable[[FakeWorker, Task], str] = lambda worker, task: "done"
+        self.broken: list[str] = []
+        self.starts: list[tuple[float, str, str]] = []
+        self.never_up: set[str] = set()
+
+    def started(self, worker: FakeWorker, task: Task) -> None:
+        self.starts.append((asyncio.get_running_loop().time(), task.name, worker.name))
+        for other in self.workers.values():
+            for found in other.tasks.values():
+                if found is not task and found.name == task.name and found.on:
+                    self.broken.append(f"{task.name} ran twice: {worker.name}, {other.name}")
+
+    def on_machines(self, job: str) -> list[str]:
+        return [
+            t.name
+            for w in self.workers.values()
+            for t in w.tasks.values()
+            if t.on and t.name.startswith(job + "/")
+        ]
+
+    def add(self, yard: str = "a", loaner: bool = False, boot_s: float = 0.0) -> str:
+        name = f"m-{len(self.hosts):06d}"
+        host = {
+            "id": name,
+            "address": f"{name}:9000",
+            "build": "c8",
+            "yard": yard,
+            "loaners": loaner,
+            "stage": "starting",
+            "ageS": 0.0,
+        }
+        self.hosts[name] = host
+        asyncio.create_task(self._boot(name, host, boot_s))
+        return name
+
+    async def _boot(self, name: str, host: dict[str, Any], boot_s: float) -> None:
+        await asyncio.sleep(boot_s)
+        if name in self.hosts and name not in self.never_up:
+            host["stage"] = "running"
+            self.workers[name] = FakeWorker(self, name, host)
+
+    def take(self, name: str) -> None:
+        """The machine is gone at once, without a word."""
+        self.hosts.pop(name, None)
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            worker.die()
+
+    async def serve(self, method: str, path: str, body: Any) -> Reply:
+        url = urlsplit(path)
+        if url.path == "/catalog":
+            return Reply(200, {"builds": [BUILD]})
+        if url.path == "/hosts/delete":
+            for name in body["spindles"]:
+                self.take(name)
+            return Reply(200, {})
+        if method == "POST":
+            if body["hire"] not in self.hires:
+                count = min(body["count"], self.capacity - len(self.hosts))
+                if count < 1:
+                    return Reply(503, {"error": "no capacity"})
+                self.hires[body["hire"]] = [
+                    self.add(body["yard"], body["loaners"], self.boot_s) for _ in range(count)
+                ]
+            return Reply(200, {"spindles": self.hires[body["hire"]]})
+        since = parse_qs(url.query).get("since", [""])[0]
+        found = [h for n, h in sorted(self.hosts.items()) if n > since]
+        return Reply(200, {"spindles": found, "hasNext": False})
--- /dev/null
+++ b/tests/fakes/net.py
@@ -0,0 +1,79 @@
+"""A network in memory, with cuts, lost answers and held requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import orjson
+
+from spoolcourse.control.net import NetError, Reply
+
+Endpoint = Callable[[str, str, Any], Awaitable[Reply]]
+Filter = Callable[[str, str, str, str, Any], str | None]
+
+
+class FakeWire:
+    """All hosts. A filter may answer `cut`, `lose` (carried out, answer lost), `hold`
+    (delivered when `release` is called, long after the caller gave up) or `503`."""
+
+    def __init__(self, delay: float = 0.002) -> None:
+        self.hosts: dict[str, Endpoint] = {}
+        self.filters: list[Filter] = []
+        self.held: list[tuple[str, str, str, Any]] = []
+        self.delay = delay
+
+    def verdict(self, src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+        for check in self.filters:
+            found = check(src, dst, method, path, body)
+            if found:
+                return found
+        return None
+
+    async def call(
+        self, src: str, dst: str, method: str, path: str, body: Any, timeout: float
+    ) -> Reply:
+        verdict = self.verdict(src, dst, method, path, body)
+        if verdict == "503":
+            return Reply(503, {"error": "trouble"})
+        if verdict == "hold":
+            self.held.append((dst, method, path, body))
+        endpoint = self.hosts.get(dst)
+        if endpoint is None or verdict in ("cut", "hold"):
+            await asyncio.sleep(timeout)
+            raise NetError(f"{src} -> {dst}: no answer")
+        await asyncio.sleep(self.delay)
+        try:
+            async with asyncio.timeout(timeout):
+                reply = await endpoint(method, path, body)
+        except TimeoutError as exc:
+            raise NetError(f"{src} -> {dst}: no answer") from exc
+        if verdict == "lose":
+            await asyncio.sleep(timeout)
+            raise NetError(f"{src} -> {dst}: answer lost")
+        await asyncio.sleep(self.delay)
+        return reply
+
+    async def release(self) -> list[Reply]:
+        held, self.held = self.held, []
+        return [await self.hosts[dst](method, path, body) for dst, method, path, body in held]
+
+    def end_of(self, src: str) -> HostNet:
+        return HostNet(self, src)
+
+
+class HostNet:
+    """The network as one host sees it."""
+
+    def __init__(self, wire: FakeWire, src: str) -> None:
+        self._wire = wire
+        self._src = src
+
+    async def call(
+        self, addr: str, method: str, path: str, body: Any = None, timeout: float = 1.0
+    ) -> Reply:
+        raw = body if isinstance(body, bytes) else orjson.dumps(body)
+        data = None if body is None else orjson.loads(raw)
+        reply = await self._wire.call(self._src, addr, method, path, data, timeout)
+        return Reply(reply.status, orjson.loads(orjson.dumps(reply.data)), reply.headers)
--- /dev/null
+++ b/tests/fakes/state.py
@@ -0,0 +1,136 @@
+"""The state service, from its protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from spoolcourse.control.net import Reply
+
+
+class FakeState:
+    def __init__(self) -> None:
+        self.ledger = 0
+        self.keys: dict[str, tuple[Any, int, int | None]] = {}
+        self.log: list[dict[str, Any]] = []
+        self.first = 0  # changes up to here are no longer kept
+        self.leases: dict[int, tuple[float, float]] = {}
+        self._news = asyncio.Event()
+        self.out = False
+        self.transactions: list[dict[str, Any]] = []
+
+    def value(self, key: str) -> Any:
+        self._expire()
+        return self.keys[key][0] if key in self.keys else None
+
+    def forget_changes(self) -> None:
+        self.first = self.ledger
+        self.log.clear()
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def _expire(self) -> None:
+        if self.out:
+            return
+        for lease, (end, _) in list(self.leases.items()):
+            if end <= self._now():
+                del self.leases[lease]
+                gone = [k for k, (_, _, held) in self.keys.items() if held == lease]
+                if gone:
+                    self._apply([{"delete": k} for k in gone])
+
+    def _apply(self, ops: list[dict[str, Any]]) -> None:
+        self.ledger += 1
+        for op in ops:
+            if "set" in op:
+                self.keys[op["set"]] = (op["v"], self.ledger, op.get("hold"))
+                self.log.append({"set": op["set"], "v": op["v"], "stamp": self.ledger})
+            elif self.keys.pop(op["delete"], None) is not None:
+                self.log.append({"delete": op["delete"], "stamp": self.ledger})
+        self._news.set()
+        self._news = asyncio.Event()
+
+    def end_outage(self) -> None:
+        self.out = False
+        self.leases = {n: (self._now() + ttl, ttl) for n, (_, ttl) in self.leases.items()}
+
+    async def serve(self, method: str, path: str, body: Any) -> Reply:
+        if self.out:
+            return Reply(503, {"error": "outage"})
+        self._expire()
+        url = urlsplit(path)
+        query = {k: v[0] for k, v in parse_qs(url.query).items()}
+        if url.path == "/kv":
+            return self._list(query)
+        if url.path.startswith("/kv/"):
+            key = unquote(url.path[4:])
+            if key not in self.keys:
+                return Reply(404, {"ledger": self.ledger})
+            value, stamp, _ = self.keys[key]
+            return Reply(200, {"k": key, "v": value, "stamp": stamp})
+        if url.path == "/multi":
+            return self._multi(body)
+        if url.path == "/holds":
+            number = 1 + max(self.leases, default=0) + self.ledger * 1000
+            ttl = body["ttlMs"] / 1000
+            self.leases[number] = (self._now() + ttl, ttl)
+            return Reply(200, {"hold": number})
+        if url.path.startswith("/holds/"):
+            number = int(url.path.split("/")[2])
+            if number not in self.leases:
+                return Reply(404, {})
+            ttl = self.leases[number][1]
+            self.leases[number] = (self._now() + ttl, ttl)
+            return Reply(200, {})
+        if url.path == "/watch":
+            return await self._watch(query)
+        return Reply(400, {})
+
+    def _list(self, query: dict[str, str]) -> Reply:
+        names = sorted(
+            k for k in self.keys if k.startswith(query["prefix"]) and k > query.get("since", "")
+        )
+        page = int(query.get("page", 200))
+        pairs = [{"k": k, "v": self.keys[k][0], "stamp": self.keys[k][1]} for k in names[:page]]
+        return Reply(200, {"pairs": pairs, "hasNext": len(names) > page, "ledger": self.ledger})
+
+    def _multi(self, body: dict[str, Any]) -> Reply:
+        failed = [
+            c["k"]
+            for c in body["if"]
+            if (self.keys[c["k"]][1] if c["k"] in self.keys else 0) != c["stamp"]
+        ]
+        if failed:
+            return Reply(409, {"failed": failed, "ledger": self.ledger})
+        ops = body.get("apply", [])
+        if any(op.get("hold") is not None and op["hold"] not in self.leases for op in ops):
+            return Reply(400, {"error": "no such lease"})
+        if ops:
+            self.transactions.append(body)
+            self._apply(ops)
+        return Reply(200, {"ledger": self.ledger})
+
+    async def _watch(self, query: dict[str, str]) -> Reply:
+        since = int(query["since"])
+        end = self._now() + int(query.get("blockMs", 0)) / 1000
+        while True:
+            if since < self.first:
+                return Reply(410, {})
+            if not self.out:
+                self._expire()
+                log = [
+                    e
+                    for e in self.log
+                    if e["stamp"] > since
+                    and (e.get("set") or e["delete"]).startswith(query["prefix"])
+                ]
+                if log or self._now() >= end:
+                    return Reply(200, {"ledger": self.ledger, "log": log})
+            news = self._news
+            try:
+                async with asyncio.timeout(min(0.05, max(end - self._now(), 0.001))):
+                    await news.wait()
+            except TimeoutError:
+                pass
--- /dev/null
+++ b/tests/fakes/world.py
@@ -0,0 +1,149 @@
+"""Three controllers with everything around them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import orjson
+
+from spoolcourse.control.net import NetError, Reply, Request
+from spoolcourse.control.service import Controller
+from spoolcourse.wire.settings import Settings, parse_settings
+from tests.fakes.cloud import FakeCloud
+from tests.fakes.net import FakeWire
+from tests.fakes.state import FakeState
+
+LABELS = ("n0", "n1", "n2")
+
+
+def settings(label: str = "n0", **params: Any) -> Settings:
+    data = {
+        "label": label,
+        "site": "a",
+        "listen": f"{label}:80",
+        "cluster_listen": f"{label}:81",
+        "seeds": [{"label": s, "site": "a", "endpoint": f"{s}:81"} for s in LABELS if s != label],
+        "outside": {"cloud": "cloud:1", "state": "state:1"},
+        "settings": {
+            "zones": ["a", "b"],
+            "teams": [
+                {"name": "red", "cpus": 16.0, "cpus_max": 64.0, "gpus": 0.0, "gpus_max": 0.0},
+                {"name": "blue", "cpus": 16.0, "cpus_max": 32.0, "gpus": 0.0, "gpus_max": 0.0},
+            ],
+            "workers": {"report_s": 1.5, "lease_s": 10.0, "cancel_s": 40.0},
+            "state": {"rps": 200.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 24},
+            "cloud": {"rps": 10.0, "list_lag_s": 5.0},
+        }
+        | params,
+    }
+    return parse_settings(orjson.dumps(data), "test")
+
+
+def job(number: int = 1, **fields: Any) -> dict[str, Any]:
+    return {
+        "id": f"job-{number:06d}",
+        "lane": "batch",
+        "crew": "red",
+        "shape": "array",
+        "rank": "standard",
+        "pieces": 4,
+        "vcpus": 2.0,
+        "gpus": 0.0,
+        "memoryGb": 4.0,
+        "bundle": "img",
+        "pullGb": 1.0,
+        "builds": None,
+        "yard": None,
+        "oneZone": False,
+        "scatter": False,
+        "loaners": True,
+        "expectS": 10.0,
+        "markEveryS": 0.0,
+        "markCostS": 0.0,
+        "dueS": None,
+    } | fields
+
+
+class World:
+    def __init__(self) -> None:
+        self.wire = FakeWire()
+        self.state = FakeState()
+        self.cloud = FakeCloud(self.wire, [(n, f"{n}:80") for n in LABELS])
+        self.wire.hosts["state:1"] = self.state.serve
+        self.wire.hosts["cloud:1"] = self.cloud.serve
+        self.nodes: dict[str, Controller] = {}
+        self.runs = 0
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    def start(self, *labels: str) -> None:
+        for label in labels or LABELS:
+            self.runs += 1
+            node = Controller(
+                settings(label),
+                self.wire.end_of(label),
+                wall=self.now,
+                run_id=f"run{self.runs}",
+            )
+            self.nodes[label] = node
+            self.wire.hosts[f"{label}:80"] = self._door(node.public)
+            self.wire.hosts[f"{label}:81"] = self._door(node.peers)
+            node.start()
+
+    @staticmethod
+    def _door(handler: Any) -> Any:
+        async def serve(method: str, path: str, body: Any) -> Reply:
+            raw = b"" if body is None else orjson.dumps(body)
+            reply: Reply = await handler(Request(method, path, raw))
+            return reply
+
+        return serve
+
+    def kill(self, label: str) -> None:
+        self.nodes.pop(label).stop()
+        del self.wire.hosts[f"{label}:80"], self.wire.hosts[f"{label}:81"]
+
+    @property
+    def leader(self) -> str | None:
+        return next((n for n, c in self.nodes.items() if c.reign is not None), None)
+
+    async def until(self, check: Any, limit: float = 120.0) -> float:
+        """Wait until the check holds; how long it took."""
+        began = self.now()
+        while not check():
+            if self.now() - began > limit:
+                raise AssertionError(f"not so within {limit} s")
+            await asyncio.sleep(0.1)
+        return self.now() - began
+
+    async def up(self) -> None:
+        self.start()
+        await self.until(lambda: self.leader and all(c._ready for c in self.nodes.values()), 20)
+
+    async def ask(self, label: str, method: str, path: str, body: Any = None) -> Reply:
+        try:
+            return await self.wire.call("user", f"{label}:80", method, path, body, 5.0)
+        except NetError:
+            return Reply(0)
+
+    async def submit(self, body: Any, label: str = "n0") -> Reply:
+        return await self.ask(label, "POST", "/submissions", body)
+
+    async def poll(self, number: int = 1, label: str = "n0") -> Reply:
+        return await self.ask(label, "GET", f"/submissions/job-{number:06d}")
+
+    async def cancel(self, number: int = 1, label: str = "n0") -> Reply:
+        return await self.ask(label, "POST", f"/submissions/job-{number:06d}/withdraw")
+
+    async def finish(self, number: int = 1, limit: float = 120.0) -> float:
+        """Poll every node in turn until the job is done."""
+        began = self.now()
+        while self.now() - began < limit:
+            for label in list(self.nodes):
+                reply = await self.poll(number, label)
+                if reply.status == 200 and reply.data["stage"] == "done":
+                    return self.now() - began
+            await asyncio.sleep(0.5)
+        raise AssertionError(f"job {number} not done within {limit} s")
--- /dev/null
+++ b/tests/test_stories.py
@@ -0,0 +1,308 @@
+"""Whole days in memory: what users and machines see while things fail."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from tests.fakes.clock import play
+from tests.fakes.world import LABELS, World, job
+
+
+def test_a_job_runs_and_every_node_says_so() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        first = await world.submit(job(), "n1")
+        assert (first.status, first.data) == (201, {"id": "job-000001", "stage": "queued"})
+        again = await world.submit(job(pieces=9), "n2")
+        assert again.status == 200 and again.data["stage"] in ("queued", "running")
+        await world.finish()
+        for label in LABELS:
+            reply = await world.poll(1, label)
+            assert (reply.status, reply.data["stage"], reply.data["done"]) == (200, "done", 4)
+            assert (await world.poll(7, label)).status == 404
+            assert (await world.cancel(7, label)).status == 404
+            assert (await world.cancel(1, label)).data["stage"] == "done"
+        # A repeat long after, malformed at that, is still the same job.
+        assert (await world.submit(job(pieces=-1), "n2")).data["stage"] == "done"
+        assert sorted(n for _, n, _ in world.cloud.starts) == [f"job-000001/{i}" for i in range(4)]
+
+    play(story())
+
+
+def test_bad_submissions_get_their_status() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        for body in (
+            [],
+            "x",
+            {k: v for k, v in job().items() if k != "pieces"},
+            job(pieces="4"),
+            job(pieces=-1),
+            job(pieces=100_001),
+            job(vcpus=-1.0),
+            job(shape="ring"),
+            job(rank="urgent"),
+            job(id="job 1"),
+            job(loaners=1),
+        ):
+            assert (await world.submit(body)).status == 400, body
+        for body in (
+            job(crew="green"),
+            job(vcpus=9.0),
+            job(memoryGb=33.0),
+            job(gpus=1.0),
+            job(crew="blue", vcpus=33.0),
+            job(builds=["c9"]),
+            job(yard="c"),
+        ):
+            assert (await world.submit(body)).status == 422, body
+        assert not world.state.value("spoolcourse/live/job/job-000001")
+
+    play(story())
+
+
+def test_leader_dies_between_the_write_and_the_start() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        world.cloud.add()
+        await asyncio.sleep(5)
+        first = world.leader
+        assert first
+
+        def mute(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            # The answers to reports are lost: assignments get written, starts don't arrive.
+            return "lose" if path == "/v1/report" and dst == f"{first}:80" else None
+
+        world.wire.filters.append(mute)
+        other = next(n for n in LABELS if n != first)
+        assert (await world.submit(job(), other)).status == 201
+        await world.until(lambda: world.state.value("spoolcourse/live/prog/job-000001/0"))
+        world.kill(first)
+        world.wire.filters.clear()
+        await world.finish()
+        assert world.cloud.broken == []
+        assert len(world.cloud.starts) == 4
+
+    play(story())
+
+
+def test_tasks_survive_a_change_of_leader() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 30.0
+        await world.up()
+        await world.submit(job(pieces=8))
+        await world.until(lambda: len(world.cloud.starts) == 8)
+        world.kill(str(world.leader))
+        took = await world.until(lambda: world.leader, 10)
+        assert took < 4
+        await world.finish()
+        assert len(world.cloud.starts) == 8, "nothing was started again"
+
+    play(story())
+
+
+def test_a_deposed_leaders_late_transaction_changes_nothing() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        first = str(world.leader)
+
+        def hold(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            if src != first or dst != "state:1":
+                return None
+            return "hold" if path == "/multi" else "cut"
+
+        other, third = (n for n in LABELS if n != first)
+        world.wire.filters.append(hold)
+        world.cloud.add()
+        await world.submit(job(), other)
+        await world.until(lambda: world.leader not in (None, first), 30)
+        world.wire.filters.clear()
+        await world.finish()
+        before = dict(world.state.keys)
+        late = await world.wire.release()
+        assert all(reply.status in (400, 409) for reply in late)
+        assert {k: v[:2] for k, v in world.state.keys.items()} == {
+            k: v[:2] for k, v in before.items()
+        }
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_silent_machine_is_not_believed_dead_before_its_lease() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 40.0
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        await world.submit(job(pieces=1))
+        await world.until(lambda: len(world.cloud.starts) == 1)
+        cut_at = world.now()
+        world.wire.filters.append(
+            lambda src, dst, method, path, body: "cut" if name in (src, dst.split(":")[0]) else None
+        )
+        world.cloud.add("b")
+        await world.until(lambda: len(world.cloud.starts) == 2)
+        assert world.now() - cut_at > world.cloud.lease_s
+        await world.finish()
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_lost_machines_tasks_are_run_again() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        await world.submit(job(pieces=6))
+        await world.until(lambda: len(world.cloud.starts) >= 3)
+        world.cloud.take(world.cloud.starts[0][2])
+        await world.finish()
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_cancelled_job_is_gone_in_time_even_on_a_silent_machine() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 500.0
+        world.cloud.lease_s = 300.0  # it would go on for long
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        await world.submit(job())
+        await world.until(lambda: len(world.cloud.starts) == 4)
+        world.wire.filters.append(
+            lambda src, dst, method, path, body: "cut" if name in (src, dst.split(":")[0]) else None
+        )
+        reply = await world.cancel()
+        assert (reply.status, reply.data["stage"]) == (200, "aborted")
+        await world.until(lambda: not world.cloud.on_machines("job-000001"), 40)
+        await world.until(lambda: world.state.value("spoolcourse/fin/job-000001"))
+        assert {(await world.poll(1, n)).data["stage"] for n in LABELS} == {"aborted"}
+
+    play(story())
+
+
+def test_a_cancellation_and_the_end_of_a_job_exclude_each_other() -> None:
+    async def story() -> None:
+        for wait in (13.0, 13.5, 14.0, 14.5, 15.0, 15.5, 16.0):
+            world = World()
+            await world.up()
+            world.cloud.add()
+            await asyncio.sleep(5)
+            await world.submit(job(pieces=1))
+            await asyncio.sleep(wait)
+            answer = (await world.cancel(1, "n1")).data["stage"]
+            await asyncio.sleep(10)
+            for label in LABELS:
+                assert (await world.poll(1, label)).data["stage"] == answer
+
+    play(story())
+
+
+def test_an_unclear_answer_is_read_back() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+
+        def lose(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            puts = [op.get("set", "") for op in (body or {}).get("apply", [])]
+            return "lose" if any("/job/" in key for key in puts) else None
+
+        world.wire.filters.append(lose)
+        assert (await world.submit(job())).status == 201
+        assert (await world.cancel()).data["stage"] == "aborted"
+        world.wire.filters.clear()
+        assert (await world.poll(1, "n2")).data["stage"] == "aborted"
+
+    play(story())
+
+
+def test_all_controllers_restart_and_nothing_is_forgotten() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 20.0
+        await world.up()
+        await world.submit(job(1))
+        await world.submit(job(2))
+        await world.cancel(2)
+        await world.until(lambda: len(world.cloud.starts) >= 4)
+        for label in LABELS:
+            world.kill(label)
+        await asyncio.sleep(3)
+        await world.up()
+        assert (await world.poll(1)).status == 200
+        assert (await world.poll(2)).data["stage"] == "aborted"
+        await world.finish()
+        assert world.cloud.broken == []
+        assert len(world.cloud.starts) == 4, "the tasks went on meanwhile"
+
+    play(story())
+
+
+def test_work_survives_an_outage_of_the_state_service() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 60.0
+        await world.up()
+        await world.submit(job())
+        await world.until(lambda: len(world.cloud.starts) == 4)
+        world.state.out = True
+        await asyncio.sleep(25)
+        reply = await world.submit(job(2))
+        assert reply.status == 503 and reply.headers["Retry-After"]
+        assert (await world.poll(1)).status == 503
+        assert (await world.ask("n0", "GET", "/healthz")).status == 200
+        world.state.end_outage()
+        await world.finish()
+        assert len(world.cloud.starts) == 4
+
+    play(story())
+
+
+def test_a_node_that_alone_lost_the_state_service_asks_a_peer() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        world.wire.filters.append(
+            lambda src, dst, *rest: "503" if (src, dst) == ("n0", "state:1") else None
+        )
+        assert (await world.submit(job(), "n0")).status == 201
+        await asyncio.sleep(5)
+        assert (await world.poll(1, "n0")).status == 200
+        assert (await world.poll(2, "n0")).status == 404
+        assert (await world.ask("n0", "GET", "/healthz")).status == 200
+        await world.finish()
+
+    play(story())
+
+
+def test_a_follower_never_answers_older_than_a_cancellation() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        await world.submit(job(), "n0")
+        assert (await world.poll(1, "n1")).status == 200
+        # n1's watch hangs; it can still ask.
+        world.wire.filters.append(
+            lambda src, dst, method, path, body: (
+                "cut"
+                if src == "n1" and path.startswith("/watch") and "blockMs=0" not in path
+                else None
+            )
+        )
+        assert (await world.cancel(1, "n2")).status == 200
+        assert (await world.poll(1, "n1")).data["stage"] == "aborted"
+        world.wire.filters.append(lambda src, dst, *rest: "cut" if src == "n1" else None)
+        assert (await world.poll(1, "n1")).data["stage"] == "aborted"
+
+    play(story())
