--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -195,8 +195,8 @@
             if attempt is not None and attempt.number == item.attempt:
                 present.add((job, piece))
                 self._progress(machine, attempt, item, now)
-            else:
-                self._stray(machine, job, piece, item, now)
+            elif self._stray(machine, job, piece, item, now):
+                present.add((job, piece))
         for key, attempt in list(machine.attempts.items()):
             if key in present:
                 continue
@@ -250,8 +250,9 @@
             log.info("%s/%d: %s on %s", work.id, attempt.piece, cause, machine.id)
         self.drop(attempt)
 
-    def _stray(self, machine: Machine, job: str, piece: int, item: Piece, now: float) -> None:
-        """Something on the machine that is not the attempt we count there."""
+    def _stray(self, machine: Machine, job: str, piece: int, item: Piece, now: float) -> bool:
+        """Something on the machine that is not the attempt we count there; true if it
+        was taken over as such."""
         work = self.works.jobs.get(job)
         if work is not None and piece < work.record.sub.pieces:
             if item.stage == "ended":
@@ -260,15 +261,16 @@
                     other = work.attempts.get(piece)
                     if other is not None:
                         other.halting = True
-                return
+                return False
             if piece not in work.attempts and not work.is_done(piece) and not work.record.aborted:
                 # It runs and nobody else does: keep it.
                 attempt = self.works.adopt(work, piece, machine.id, item.attempt, now)
                 attempt.stage, attempt.seen = item.stage, True
                 machine.attempts[job, piece] = attempt
-                return
+                return True
         if item.stage != "ended":
             machine.strays.add((job, piece, item.attempt))
+        return False
 
     @staticmethod
     def _gone(images: OrderedDict[str, float], room: float) -> None:
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,80 @@
+"""The command line: one clear line for whatever is wrong."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from spoolcourse import __version__
+from spoolcourse.cli import main
+from tests.fakes.world import settings
+
+
+def written(path: Path, change: Any = None) -> str:
+    data = json.loads(msgspec.json.encode(settings()))
+    if change:
+        change(data)
+    path.write_text(json.dumps(data))
+    return str(path)
+
+
+def test_check_accepts_good_settings_and_ignores_unknown_fields(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = written(tmp_path / "s.json", lambda d: d.update(novelty={"x": 1}))
+    assert main(["check", "--config", path]) == 0
+    assert "ok" in capsys.readouterr().out
+
+
+@pytest.mark.parametrize(
+    ("change", "named"),
+    [
+        (lambda d: d.pop("listen"), "listen"),
+        (lambda d: d["settings"]["workers"].pop("lease_s"), "lease_s"),
+        (lambda d: d["settings"]["state"].update(rps="many"), "rps"),
+        (lambda d: d["settings"]["cloud"].update(rps=-1), "rps"),
+        (lambda d: d["outside"].update(state="nowhere"), "outside.state"),
+        (lambda d: d["seeds"][0].update(label="n0"), "seeds"),
+    ],
+)
+@pytest.mark.parametrize("command", ["check", "serve"])
+def test_a_wrong_field_ends_the_start_with_one_line_naming_it(
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+    change: Any,
+    named: str,
+    command: str,
+) -> None:
+    path = written(tmp_path / "s.json", change)
+    assert main([command, "--config", path]) == 1
+    error = capsys.readouterr().err
+    assert named in error and error.count("\n") == 1
+
+
+def test_unreadable_files_bad_nodes_and_bad_ids(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    broken = tmp_path / "x.json"
+    broken.write_text("{")
+    for argv in (
+        ["check", "--config", str(tmp_path / "none.json")],
+        ["check", "--config", str(broken)],
+        ["status", "--node", "here", "job-000001"],
+        ["cancel", "--node", "127.0.0.1:1", "job 1"],
+        ["submit", "--node", "127.0.0.1:1", str(tmp_path / "none.json")],
+        ["status", "--node", "127.0.0.1:1", "job-000001"],
+    ):
+        assert main(argv) == 1
+        error = capsys.readouterr().err
+        assert error.startswith("spoolcourse: ") and error.count("\n") == 1
+
+
+def test_version(capsys: pytest.CaptureFixture[str]) -> None:
+    with pytest.raises(SystemExit) as end:
+        main(["--version"])
+    assert end.value.code == 0
+    assert __version__ in capsys.readouterr().out
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,202 @@
+"""What reports prove, and what workers are told."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from spoolcourse.control.fleet.roster import Roster
+from spoolcourse.control.jobs.records import JobRecord, Progress
+from spoolcourse.control.jobs.works import Attempt, Work, Works
+from spoolcourse.wire.messages import Malformed, Report, Submission, parse, parse_report
+from tests.fakes.world import job
+
+TERM = 7
+
+
+class Crew:
+    """A roster with one machine and one job."""
+
+    def __init__(self, **fields: Any) -> None:
+        self.now = 100.0
+        self.valid = True
+        self.works = Works()
+        self.roster = Roster(
+            self.works,
+            TERM,
+            10.0,
+            lambda: self.now,
+            lambda: self.valid,
+            lambda job: job not in self.works.jobs,
+            lambda: None,
+        )
+        sub = parse(job(**fields), Submission)
+        self.work: Work = self.works.add(JobRecord(sub, 1.0, 170, None, 5), self.now)
+        self.tick = 0
+
+    def report(self, *pieces: dict[str, Any], **fields: Any) -> list[dict[str, Any]]:
+        self.tick += 1
+        data = {
+            "spindle": "m-1",
+            "address": "m-1:9",
+            "build": "c8",
+            "yard": "a",
+            "loaners": False,
+            "shift": 1,
+            "tick": self.tick,
+            "baton": TERM,
+            "pieces": list(pieces),
+        } | fields
+        return self.roster.accept(parse(data, Report))
+
+    def assign(self, piece: int = 0, number: int = 1, saved: bool = True) -> Attempt:
+        attempt = self.works.assign(self.work, piece, "m-1", number, self.now)
+        self.roster.link(attempt)
+        if saved:
+            self.save()
+        return attempt
+
+    def save(self) -> None:
+        for chunk in self.work.chunks.values():
+            chunk.saved = chunk.version
+
+
+def on(piece: int = 0, number: int = 1, stage: str = "running", **more: Any) -> dict[str, Any]:
+    return {"piece": f"job-000001/{piece}", "try": number, "stage": stage} | more
+
+
+START = {"verb": "start", "piece": "job-000001/0", "try": 1}
+REAP = {"verb": "reap", "piece": "job-000001/0", "try": 1}
+
+
+def test_a_start_follows_its_write_and_needs_the_office() -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign(saved=False)
+    assert crew.report() == []
+    crew.save()
+    crew.valid = False
+    assert crew.report() == []
+    crew.valid = True
+    assert crew.report() == [START]
+
+
+def test_a_start_is_repeated_until_seen_and_a_late_report_proves_nothing() -> None:
+    crew = Crew()
+    crew.report()
+    attempt = crew.assign()
+    assert crew.report() == [START]
+    assert crew.report(tick=1) == [], "a late copy"
+    crew.tick -= 1
+    assert attempt.sent == (1, 2)
+    assert crew.report() == [START], "a newer report without it: it never arrived"
+    assert crew.report(on()) == []
+    assert attempt.stage == "running"
+
+
+def test_a_report_under_an_older_baton_confirms_nothing() -> None:
+    crew = Crew()
+    attempt = crew.works.adopt(crew.work, 0, "m-1", 1, crew.now)
+    crew.roster.link(attempt)
+    assert crew.report(baton=TERM - 1) == []
+    assert crew.work.attempts, "the former leader's start may still arrive"
+    crew.report()
+    assert not crew.work.attempts and crew.work.pending == 4
+
+
+def test_a_result_is_reaped_only_when_it_is_durable() -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign()
+    crew.report()
+    assert crew.report(on(stage="ended", cause="done")) == []
+    assert crew.work.done == 1 and not crew.work.attempts
+    crew.save()
+    assert crew.report(on(stage="ended", cause="done")) == [REAP]
+
+
+@pytest.mark.parametrize("cause", ["halted", "error", "no_room", "in_use", "no_such"])
+def test_an_ended_attempt_frees_its_piece(cause: str) -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign()
+    crew.report()
+    orders = crew.report(on(stage="ended", cause=cause))
+    assert orders == [REAP]
+    assert crew.work.pending == 4 and next(crew.work.candidates()) == 0
+    assert ("m-1" in crew.work.bad_machines) == (cause == "error")
+
+
+def test_a_new_session_means_the_old_tasks_are_gone() -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign()
+    crew.report()
+    crew.report(on())
+    crew.report(shift=2, tick=1)
+    assert not crew.work.attempts and crew.work.pending == 4
+
+
+def test_only_a_lease_that_we_alone_renewed_proves_an_end() -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign()
+    crew.report(on())
+    crew.now += 10.5
+    crew.roster.expire()
+    assert crew.work.attempts, "within drift and margin"
+    crew.now += 1.0
+    crew.roster.expire()
+    assert not crew.work.attempts
+    # A machine that has not reported our baton may be kept alive by somebody else.
+    other = Crew()
+    other.report(baton=TERM - 1)
+    other.roster.link(other.works.adopt(other.work, 0, "m-1", 1, other.now))
+    other.now += 100.0
+    other.roster.expire()
+    assert other.work.attempts
+
+
+def test_a_withdrawn_job_is_halted_and_never_started() -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign(0)
+    crew.report()
+    crew.report(on())
+    crew.assign(1, 2)
+    crew.work.record.aborted_at = 100.0
+    assert crew.report(on()) == [
+        {"verb": "halt", "piece": "job-000001/0", "try": 1, "windDownS": 0.0}
+    ]
+    assert crew.report(on(stage="ended", cause="halted")) == [REAP]
+
+
+def test_what_no_job_knows_is_halted_and_what_nobody_else_runs_is_kept() -> None:
+    crew = Crew()
+    stray = {"piece": "job-000009/0", "try": 3, "stage": "running"}
+    assert crew.report(stray) == [
+        {"verb": "halt", "piece": "job-000009/0", "try": 3, "windDownS": 0.0}
+    ]
+    crew.report(on(2, 44))
+    assert crew.work.attempts[2].number == 44
+
+
+def test_a_report_held_while_its_machine_was_deleted_changes_nothing() -> None:
+    crew = Crew()
+    crew.report()
+    crew.assign()
+    crew.roster.gone("m-1")
+    assert crew.work.pending == 4
+    assert crew.report(on()) == [] and not crew.work.attempts
+
+
+def test_malformed_reports_are_refused() -> None:
+    for raw in (b"", b"[]", b'{"spindle":"m-1"}', b"\xff"):
+        with pytest.raises(Malformed):
+            parse_report(raw)
+
+
+def test_progress_survives_its_record() -> None:
+    progress = Progress(0b1011, {2: ("m-000001", 9)})
+    assert Progress.from_value(progress.value()) == progress
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,125 @@
+"""The placement pass: arrival order, guarded head start, fetch booking, limits."""
+
+from __future__ import annotations
+
+from spoolcourse.control.machines.planner import Offer, plan_hires
+from spoolcourse.control.placement.backfill import place
+from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot, Team
+
+
+def node(cpus: float = 8.0, size: float = 8.0, **fields: object) -> Node:
+    return Node(0, 0, False, cpus, 0.0, 64.0, size, 1.0, **fields)  # type: ignore[arg-type]
+
+
+def job(pending: int = 1, cpus: float = 2.0, estimate: float = 10.0, **fields: object) -> Job:
+    plain = {"image": 0, "image_gb": 0.0, "team": 0} | fields
+    return Job(pending, cpus, 0.0, 1.0, estimate=estimate, **plain)  # type: ignore[arg-type]
+
+
+def run(
+    jobs: list[Job], nodes: list[Node], team: float = 1000.0, node_fetches: int = 2, zone: int = 8
+) -> Plan:
+    teams = [Team(team, 0.0), Team(1000.0, 0.0)]
+    return place(Snapshot(100.0, jobs, nodes, teams, 2, node_fetches, zone))
+
+
+def placed(plan: Plan) -> dict[int, int]:
+    counts: dict[int, int] = {}
+    for d in plan.decisions:
+        counts[d.job] = counts.get(d.job, 0) + d.count
+    return counts
+
+
+def test_an_array_starts_as_many_as_fit_and_becomes_the_head() -> None:
+    plan = run([job(10), job(1)], [node(), node(4.0)])
+    assert placed(plan) == {0: 6}
+    assert plan.head == 0 and plan.unplaced[0] == 4
+
+
+def test_shadow_time_is_when_enough_has_ended() -> None:
+    tasks = [RunningTask(120.0, 2.0, 0.0, 1.0), RunningTask(150.0, 4.0, 0.0, 1.0)]
+    plan = run([job(1, 8.0)], [node(2.0, tasks=tasks)])
+    assert (plan.head, plan.head_start) == (0, 150.0)
+
+
+def test_backfill_starts_only_what_leaves_the_head_start_alone() -> None:
+    def nodes() -> list[Node]:
+        return [node(4.0, tasks=[RunningTask(130.0, 4.0, 0.0, 1.0)])]
+
+    head = job(1, 8.0)
+    short, long = job(1, 2.0, estimate=25.0), job(1, 2.0, estimate=40.0)
+    assert placed(run([head, short], nodes())) == {1: 1}
+    assert placed(run([head, long], nodes())) == {}
+    # What the head leaves over at its start may be used for longer.
+    assert placed(run([job(1, 6.0), job(2, 2.0, estimate=40.0)], nodes())) == {1: 1}
+
+
+def test_a_booting_machine_counts_for_the_head_start() -> None:
+    plan = run([job(1, 8.0), job(1, 4.0, 50.0)], [node(4.0), node(ready_at=110.0)])
+    assert plan.head_start == 110.0
+    assert placed(plan) == {1: 1}
+
+
+def test_fetches_are_booked_on_machine_and_zone() -> None:
+    images = [job(1, 1.0, image=i, image_gb=1.0) for i in range(4)]
+    assert placed(run(images, [node()], node_fetches=2)) == {0: 1, 1: 1}
+    two = [node(), node()]
+    images = [job(1, 1.0, image=i, image_gb=1.0) for i in range(4)]
+    assert sum(placed(run(images, two, zone=3)).values()) == 3
+    # One fetch serves all tasks that need it; a cached image needs none.
+    same = [job(4, 1.0, image=7, image_gb=1.0), job(2, 1.0, image=8, image_gb=1.0)]
+    assert placed(run(same, [node(images={8})], node_fetches=1)) == {0: 4, 1: 2}
+
+
+def test_a_start_above_the_fetch_budget_waits_for_a_quiet_zone() -> None:
+    big = job(1, 1.0, image=1, image_gb=1.0)
+    assert placed(run([big], [node()], zone=0)) == {0: 1}
+    busy = [node(), node(pulling={5: 1.0})]
+    other = job(1, 1.0, image=2, image_gb=1.0)
+    assert placed(run([job(1, 1.0, image=1, image_gb=1.0), other], busy, zone=0)) == {}
+
+
+def test_a_job_at_its_teams_limit_waits_but_is_not_the_head() -> None:
+    plan = run([job(4, 2.0), job(4, 2.0, team=1)], [node(16.0)], team=4.0)
+    assert placed(plan) == {0: 2, 1: 4}
+    assert plan.head is None and plan.why[0] == "team limit"
+
+
+def test_zone_rules_count_pieces_that_may_be_anywhere() -> None:
+    def zoned() -> list[Node]:
+        return [node(4.0), Node(0, 1, False, 8.0, 0.0, 64.0, 8.0, 1.0)]
+
+    plan = run([job(4, 2.0, one_zone=True)], zoned())
+    assert {d.node for d in plan.decisions} == {1}
+    assert placed(run([job(4, 2.0, one_zone=True, lost=1)], zoned())) == {}
+    plan = run([job(5, 1.0, spread=3)], zoned())
+    assert sorted(d.count for d in plan.decisions) == [2, 3]
+    assert placed(run([job(5, 1.0, spread=3, lost=2)], zoned())) == {0: 2}
+
+
+def test_spot_types_zones_and_bad_machines_are_respected() -> None:
+    spot = Node(1, 0, True, 8.0, 0.0, 64.0, 8.0, 1.0)
+    assert placed(run([job(loaners=False)], [spot])) == {}
+    assert placed(run([job(builds=frozenset({0}))], [spot])) == {}
+    assert placed(run([job(zone=1)], [spot])) == {}
+    assert placed(run([job(avoid=frozenset({0}))], [spot])) == {}
+
+
+def offer(price: float, loaner: bool, cpus: float = 8.0, boot: float = 20.0) -> Offer:
+    return Offer(0, 0, loaner, cpus, 0.0, 64.0, price, boot)
+
+
+def test_renting_takes_the_cheapest_and_counts_what_is_on_its_way() -> None:
+    offers = [offer(0.3, True), offer(1.0, False)]
+    hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], [], offers, 100.0, 15.0, [1000.0])
+    assert [(h.offer.loaner, h.count) for h in hires] == [(True, 2)]
+    booting = [node(ready_at=110.0)]
+    hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], booting, offers, 100.0, 15.0, [1000.0])
+    assert [h.count for h in hires] == [1]
+    # Ordinary machines are asked for once a job has waited for spot ones.
+    only = [offer(1.0, False)]
+    assert plan_hires([(job(1, arrived=90.0), 1)], [], only, 100.0, 15.0, [1000.0]) == []
+    assert len(plan_hires([(job(1, arrived=80.0), 1)], [], only, 100.0, 15.0, [1000.0])) == 1
+    # Never more than the team may use.
+    hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], [], offers, 100.0, 15.0, [4.0])
+    assert [h.count for h in hires] == [1]
