--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -10,6 +10,10 @@
 from spoolcourse.wire.settings import Team as TeamSettings
 
 
+# The first exception to the arrival order (docs/design.md): rank goes before arrival.
+RANKS = ("prod", "high", "standard", "best_effort")
+
+
 class Index:
     """Names to dense numbers."""
 
@@ -68,7 +72,8 @@
     def take(self, now: float, builds: dict[str, Build]) -> Snapshot:
         room = [Team(t.cpus_max, t.gpus_max) for t in self._team_settings]
         self.works = sorted(
-            (w for w in self._works.jobs.values() if not w.record.aborted), key=lambda w: w.order
+            (w for w in self._works.jobs.values() if not w.record.aborted),
+            key=lambda w: (RANKS.index(w.record.sub.rank), w.order),
         )
         for work in self._works.jobs.values():
             sub = work.record.sub
