--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -224,6 +224,7 @@
         attempt.seen = True
         if item.stage != "ended":
             if item.stage != attempt.stage:
+                log.debug("%s: %s on %s", item.piece, item.stage, machine.id)
                 attempt.stage, attempt.since = item.stage, now
             if item.stage in ("running", "flushing"):
                 self._cached(machine, sub.bundle, sub.pullGb)
