--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -55,6 +55,23 @@
         self._images = Index()
         self.works: list[Work] = []
         self.machines: list[Machine] = []
+        self._rare_until: dict[str, float] = {}
+
+    def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
+        """Machine types that some job of late depends on, while others have a choice."""
+        for work in self._works.jobs.values():
+            sub = work.record.sub
+            fits = [
+                b.name
+                for b in builds.values()
+                if (sub.builds is None or b.name in sub.builds)
+                and sub.vcpus <= b.vcpus
+                and sub.gpus <= b.gpus
+                and sub.memoryGb <= b.memoryGb
+            ]
+            if len(fits) < len(builds):
+                for name in fits:
+                    self._rare_until[name] = now + self._policy.rare_s
 
     def estimate(self, work: Work) -> float:
         return work.record.sub.expectS or self._policy.default_estimate_s
@@ -81,6 +98,7 @@
             team.cpus -= sub.vcpus * len(work.attempts)
             team.gpus -= sub.gpus * len(work.attempts)
         self.machines = []
+        self._mark_rare(now, builds)
         nodes: list[Node] = []
         number_of: dict[str, int] = {}
         for machine in self._roster.machines.values():
@@ -134,6 +152,7 @@
             size=build.vcpus,
             pull_rate=build.pullGbPerS,
             images={self._images.of(i) for i in machine.images},
+            rare=self._rare_until.get(build.name, 0.0) > now,
         )
         rate = max(build.pullGbPerS, 1e-3)
         for attempt in machine.attempts.values():
--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -18,3 +18,4 @@
     refused_s: float = 15.0  # after "no capacity", leave that kind alone for so long
     silent_leases: float = 3.0  # a machine silent for so many leases is deleted
     boot_patience: float = 4.0  # a machine that boots for so many boot times is deleted
+    rare_s: float = 300.0  # a type that a job had no choice but to use is spared for so long
