--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -9,7 +9,6 @@
 from spoolcourse.wire.messages import Build
 from spoolcourse.wire.settings import Team as TeamSettings
 
-
 # The first exception to the arrival order (docs/design.md): rank goes before arrival.
 RANKS = ("prod", "high", "standard", "best_effort")
 
