--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -50,6 +50,7 @@
     refuse_until: float = 0.0  # a start was refused for lack of room
     attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     strays: set[tuple[str, int, int]] = field(default_factory=set)  # ours no longer, still there
+    kept: set[tuple[str, int, int]] = field(default_factory=set)  # ended, not to be reaped
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)  # seen cached, by use
     pulling: dict[str, float] = field(default_factory=dict)  # image: since when
 
@@ -168,6 +169,7 @@
         now = self._clock()
         if report.shift != machine.shift:
             machine.confirmed = False
+            machine.kept.clear()
         machine.shift, machine.tick = report.shift, report.tick
         machine.build, machine.yard = report.build, report.yard
         machine.loaner, machine.address = report.loaners, report.address
@@ -200,9 +202,11 @@
         for key, attempt in list(machine.attempts.items()):
             if key in present:
                 continue
+            if attempt.loose is not None and attempt.loose != report.shift:
+                attempt.loose = None  # another session: it would be refused
             if attempt.stage == "assigned" and (attempt.sent is None or attempt.sent < stamp):
                 attempt.sent = None  # that start never arrived and can't any more
-                if attempt.work.record.aborted:
+                if attempt.work.record.aborted and attempt.loose is None:
                     self.drop(attempt)
             elif attempt.stage != "assigned":
                 log.info("%s/%d: no longer on %s", *key, machine.id)
@@ -231,6 +235,10 @@
                 machine.errors.discard(work.id)
             return
         cause = item.cause or ""
+        if attempt.loose is not None or (attempt.direct and cause != "done"):
+            # A copy of the start may still be on its way to `/orders`. While the worker
+            # remembers the attempt, the copy has no effect; after a reap it would start.
+            machine.kept.add((work.id, attempt.piece, attempt.number))
         if cause == "done":
             self._cached(machine, sub.bundle, sub.pullGb)
             work.failures = 0
@@ -292,6 +300,8 @@
         for item in report.pieces:
             job, piece = split_piece(item.piece)
             if item.stage == "ended":
+                if (job, piece, item.attempt) in machine.kept:
+                    continue
                 if self._may_reap(job, piece, item):
                     orders.append({"verb": "reap", "piece": item.piece, "try": item.attempt})
                 continue
@@ -316,6 +326,25 @@
                     orders.append({"verb": "start", "piece": name, "try": attempt.number})
         return orders[:ORDERS_MAX]
 
+    def has_fresh_starts(self, machine: Machine) -> bool:
+        return (
+            self._may_start()
+            and machine.placeable
+            and bool(machine.address)
+            and any(self._fresh(a) for a in machine.attempts.values())
+        )
+
+    def take_fresh_starts(self, machine: Machine) -> list[Attempt]:
+        """Starts to be sent to `/orders`; from here on they may arrive at any time."""
+        fresh = [a for a in machine.attempts.values() if self._fresh(a)][:ORDERS_MAX]
+        for attempt in fresh:
+            attempt.direct = True
+            attempt.loose = machine.shift
+        return fresh
+
+    def _fresh(self, attempt: Attempt) -> bool:
+        return attempt.stage == "assigned" and not attempt.direct and self._startable(attempt)
+
     @staticmethod
     def _startable(attempt: Attempt) -> bool:
         return attempt.saved and not attempt.halting and not attempt.work.record.aborted
--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -24,9 +24,16 @@
     since: float  # when `stage` began
     stage: str = "assigned"  # open (taken over), assigned, pulling, running, flushing
     sent: tuple[int, int] | None = None  # the report whose response carried the start
+    direct: bool = False  # the start was also sent to `/orders`
+    loose: int | None = None  # the session in which that may still arrive
     seen: bool = False
     halting: bool = False
 
+    @property
+    def never_sent(self) -> bool:
+        """No start is under way, nor can have arrived."""
+        return self.stage == "assigned" and self.sent is None and self.loose is None
+
     @property
     def saved(self) -> bool:
         return self.work.chunk(self.piece).saved >= self.version
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -230,7 +230,7 @@
         heard = machine.heard_at
         silent = now - (heard if heard is not None else machine.since)
         if self._cancel_due(machine, silent):
-            return "a withdrawn job may be on it, and it is silent"
+            return "a withdrawn job may be on it, and it can't be told"
         if heard is None and machine.up_at is not None and not machine.attempts:
             boot = self._boot_s(machine)
             if now - (machine.up_at - boot) > self._policy.boot_patience * boot + self._report_s:
@@ -257,12 +257,13 @@
     def _cancel_due(self, machine: Machine, silent: float) -> bool:
         """A withdrawn job's tasks must be gone within `cancel_s`: a silent machine can't
         be told, so it goes itself, early enough for a retry or two."""
-        if silent < 3 * self._report_s + 1.0:
-            return False
+        quiet = silent > 3 * self._report_s + 1.0
         limit = self._cancel_s * 0.4
         wall = self._wall()
         return any(
-            a.work.record.aborted_at is not None and wall - a.work.record.aborted_at > limit
+            a.work.record.aborted_at is not None
+            and wall - a.work.record.aborted_at > limit
+            and (quiet or a.loose is not None)
             for a in machine.attempts.values()
         )
 
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from spoolcourse.control.fleet.courier import Courier
 from spoolcourse.control.fleet.roster import Roster
 from spoolcourse.control.jobs.book import Book
 from spoolcourse.control.jobs.records import JobRecord, Progress
@@ -69,7 +70,8 @@
             self._wake.set,
         )
         self.roster.disk_gb = self._disk_gb
-        self.writer = Writer(client, mirror, self.works, office, leadership.depose, self._wake.set)
+        self.courier = Courier(net, self.roster)
+        self.writer = Writer(client, mirror, self.works, office, leadership.depose, self._on_saved)
         self.keeper = Keeper(
             net,
             cloud,
@@ -133,6 +135,7 @@
         )
         self.ready.set()
         self._spawn(self.writer.run())
+        self._spawn(self.courier.run())
         self._spawn(self.keeper.list_loop())
         self._spawn(self.keeper.rent_loop())
         self._spawn(self.keeper.return_loop())
@@ -147,6 +150,10 @@
         except (Refused, Unclear) as exc:
             log.info("progress of finished jobs is left for the next term: %s", exc)
 
+    def _on_saved(self) -> None:
+        self._wake.set()
+        self.courier.wake.set()
+
     # -- what may be done ---------------------------------------------------------------
 
     def _may_start(self) -> bool:
@@ -181,7 +188,7 @@
         work.record = record
         if record.aborted and not was_aborted:
             for attempt in list(work.attempts.values()):
-                if attempt.stage == "assigned" and attempt.sent is None:
+                if attempt.never_sent:
                     self.roster.drop(attempt)  # never sent, and won't be
             self.works.check(work)
 
@@ -298,7 +305,7 @@
         if attempt.halting:
             return
         if attempt.stage == "assigned":
-            if attempt.sent is None:
+            if attempt.never_sent:
                 self.roster.drop(attempt)
             return
         sub = attempt.work.record.sub
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from typing import Any
 from urllib.parse import urlsplit
 
@@ -73,13 +73,23 @@
 
     def start(self) -> None:
         loop = asyncio.get_running_loop()
-        for coro in (
-            self.mirror.run(),
-            self.leadership.run(),
-            self._catalog_loop(),
-            self._health_loop(),
+        for run in (
+            self.mirror.run,
+            self.leadership.run,
+            self._catalog_loop,
+            self._health_loop,
         ):
-            self._tasks.append(loop.create_task(coro))
+            self._tasks.append(loop.create_task(self._supervise(run)))
+
+    async def _supervise(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """A loop that fails for an unforeseen reason is begun again, not the process."""
+        while True:
+            try:
+                await run()
+            except Exception:
+                log.exception("%s failed; it is begun again", run.__qualname__)
+                self.leadership.depose("a loop failed")
+            await asyncio.sleep(1.0)
 
     def stop(self) -> None:
         if self.reign is not None:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -200,3 +200,31 @@
 def test_progress_survives_its_record() -> None:
     progress = Progress(0b1011, {2: ("m-000001", 9)})
     assert Progress.from_value(progress.value()) == progress
+
+
+def test_a_start_sent_to_orders_is_possible_until_the_session_ends() -> None:
+    crew = Crew()
+    crew.report()
+    attempt = crew.assign()
+    machine = crew.roster.machines["m-1"]
+    assert crew.roster.take_fresh_starts(machine) == [attempt]
+    assert not crew.roster.has_fresh_starts(machine), "sent that way once only"
+    crew.work.record.aborted_at = 100.0
+    crew.report()
+    crew.report()
+    assert crew.work.attempts, "no answer: it may still arrive, whatever reports say"
+    crew.report(shift=2, tick=1)
+    assert not crew.work.attempts
+
+
+def test_an_attempt_with_a_copy_under_way_stays_with_the_worker() -> None:
+    crew = Crew()
+    crew.report()
+    attempt = crew.assign()
+    crew.roster.take_fresh_starts(crew.roster.machines["m-1"])
+    attempt.loose = None  # it was answered, but a copy may come late
+    crew.report(on())
+    assert crew.report(on(stage="ended", cause="halted")) == []
+    crew.save()
+    assert crew.report(on(stage="ended", cause="halted")) == []
+    assert crew.work.pending == 4, "it is proven ended all the same"
