--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -248,9 +248,12 @@
         ):
             idle = now - machine.idle_since
             boot = self._boot_s(machine)
-            if machine.leaving or idle > max(
-                self._policy.idle_min_s, self._policy.idle_boots * boot
-            ):
+            policy = self._policy
+            if machine.loaner:
+                limit = max(policy.idle_min_s, policy.idle_boots * boot)
+            else:
+                limit = max(policy.ordinary_idle_min_s, policy.ordinary_idle_boots * boot)
+            if machine.leaving or idle > limit:
                 return "it is idle"
         return None
 
--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -148,9 +148,11 @@
             if not self._may_fetch(job, node):
                 fetch_blocked = True
                 continue
-            # Machines that other waiting jobs depend on come last, then a short fetch
-            # counts, then the fullest machine: empty ones can be returned.
-            choices.append((node.rare, round(self._fetch_s(job, node), 1), node.cpus, number))
+            # Machines that other waiting jobs depend on come last; then a short fetch
+            # counts, and that ordinary machines cost more than spot ones and should run
+            # empty; then the fullest machine, for empty ones can be returned.
+            delay = self._fetch_s(job, node) + (0.0 if node.loaner else self.s.ordinary_s)
+            choices.append((node.rare, round(delay, 1), node.cpus, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
             self._narrow(job, choices, wanted)
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -72,6 +72,7 @@
     zones: int
     node_fetches: int
     zone_fetches: int
+    ordinary_s: float = 0.0  # a spot machine is preferred to an ordinary one so much sooner
 
 
 @dataclass(slots=True)
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -130,6 +130,7 @@
             zones=len(self.zones),
             node_fetches=self._policy.node_fetches,
             zone_fetches=self._policy.zone_fetches,
+            ordinary_s=self._policy.ordinary_s,
         )
 
     def _strays(self) -> list[Work]:
--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -12,8 +12,11 @@
     pass_gap_s: float = 0.1  # shortest time between two passes
     pass_period_s: float = 1.0  # longest time between two passes
     default_estimate_s: float = 60.0  # for jobs without an estimate
-    idle_boots: float = 2.0  # an idle machine is returned after so many boot times
+    idle_boots: float = 2.0  # an idle spot machine is returned after so many boot times
     idle_min_s: float = 45.0  # but not before
+    ordinary_idle_boots: float = 0.6  # the same for ordinary machines
+    ordinary_idle_min_s: float = 12.0
+    ordinary_s: float = 4.0  # spot machines are preferred if the start is later by less
     ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
     refused_s: float = 15.0  # after "no capacity", leave that kind alone for so long
     silent_leases: float = 3.0  # a machine silent for so many leases is deleted
