--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -13,6 +13,7 @@
 
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
+from spoolcourse.control.machines.demand import Demand
 from spoolcourse.control.net import Net, NetError
 from spoolcourse.policy.defaults import Policy
 from spoolcourse.wire.messages import Build, Host, Malformed, Report, parse
@@ -62,6 +63,9 @@
         self._report_s = report_s
         self._wall = wall
         self._hires = 0
+        self.demand = Demand(max(policy.keep_s, policy.ordinary_keep_s))
+        # Types that some jobs have no choice but to use are kept, within reason.
+        self.is_rare: Callable[[str], bool] = lambda build: False
         self.refusals: dict[Kind, Refusal] = {}
         self.wanted: list[tuple[Kind, int]] = []
         self.renting = False  # what is being asked for is not known as a machine yet
@@ -214,8 +218,16 @@
         now = self._clock()
         isolated = self.isolated()
         names = []
+        spare = self._capacity() - self.demand.peak(now, self._policy.keep_s)
+        ordinary = self._capacity() - self.demand.peak(now, self._policy.ordinary_keep_s)
         for machine in self._roster.machines.values():
             reason = self._reason(machine, now, isolated)
+            if reason is None and self._idle(machine, now):
+                cpus = self._cpus(machine)
+                if cpus <= (spare if machine.loaner else ordinary):
+                    reason = "it is idle"
+                    spare -= cpus
+                    ordinary -= cpus
             if reason:
                 if not machine.deleting:
                     log.info("%s: returned: %s", machine.id, reason)
@@ -240,22 +252,35 @@
             return "it is silent"
         if len(machine.errors) >= 2 and not machine.attempts:
             return "tasks of several jobs fail on it"
+        return None
+
+    def _cpus(self, machine: Machine) -> float:
+        build = self._builds().get(machine.build or "")
+        return build.vcpus if build else 0.0
+
+    def _capacity(self) -> float:
+        return sum(
+            self._cpus(m)
+            for m in self._roster.machines.values()
+            if m.placeable or (m.heard_at is None and not m.deleting and m.listed != "failed")
+        )
+
+    def _idle(self, machine: Machine, now: float) -> bool:
         if (
-            machine.confirmed
-            and not machine.attempts
-            and not machine.strays
-            and machine.idle_since is not None
+            not machine.confirmed
+            or machine.attempts
+            or machine.strays
+            or machine.idle_since is None
         ):
-            idle = now - machine.idle_since
-            boot = self._boot_s(machine)
-            policy = self._policy
-            if machine.loaner:
-                limit = max(policy.idle_min_s, policy.idle_boots * boot)
-            else:
-                limit = max(policy.ordinary_idle_min_s, policy.ordinary_idle_boots * boot)
-            if machine.leaving or idle > limit:
-                return "it is idle"
-        return None
+            return False
+        policy, boot = self._policy, self._boot_s(machine)
+        if self.is_rare(machine.build or ""):
+            limit = policy.rare_s
+        elif machine.loaner:
+            limit = max(policy.idle_min_s, policy.idle_boots * boot)
+        else:
+            limit = max(policy.ordinary_idle_min_s, policy.ordinary_idle_boots * boot)
+        return machine.leaving or now - machine.idle_since > limit
 
     def _cancel_due(self, machine: Machine, silent: float) -> bool:
         """A withdrawn job's tasks must be gone within `cancel_s`: a silent machine can't
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -72,6 +72,9 @@
                 for name in fits:
                     self._rare_until[name] = now + self._policy.rare_s
 
+    def is_rare(self, build: str, now: float) -> bool:
+        return self._rare_until.get(build, 0.0) > now
+
     def estimate(self, work: Work) -> float:
         return work.record.sub.expectS or self._policy.default_estimate_s
 
@@ -152,7 +155,7 @@
             size=build.vcpus,
             pull_rate=build.pullGbPerS,
             images={self._images.of(i) for i in machine.images},
-            rare=self._rare_until.get(build.name, 0.0) > now,
+            rare=self.is_rare(build.name, now),
         )
         rate = max(build.pullGbPerS, 1e-3)
         for attempt in machine.attempts.values():
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -87,6 +87,7 @@
             wall,
         )
         self._surveyor = Surveyor(self.works, self.roster, params.teams, params.zones, policy)
+        self.keeper.is_rare = lambda build: self._surveyor.is_rare(build, self._clock())
         self._tasks: list[asyncio.Task[None]] = []
         self.last_plan: Plan | None = None
 
@@ -227,9 +228,13 @@
         if not builds:
             return
         snapshot = self._surveyor.take(now, builds)
+        held = sum(w.record.sub.vcpus * len(w.attempts) for w in self.works.jobs.values())
         room = [team.cpus for team in snapshot.teams]
         plan = place(snapshot)
         self.last_plan = plan
+        missing = sum(snapshot.jobs[i].cpus * count for i, count in plan.unplaced.items())
+        placed = sum(snapshot.jobs[d.job].cpus * d.count for d in plan.decisions)
+        self.keeper.demand.note(now, held + placed + missing)
         for decision in plan.decisions:
             work = self._surveyor.works[decision.job]
             machine = self._surveyor.machines[decision.node]
