--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -14,8 +14,8 @@
     default_estimate_s: float = 60.0  # for jobs without an estimate
     idle_boots: float = 2.0  # an idle spot machine is returned after so many boot times
     idle_min_s: float = 45.0  # but not before
-    ordinary_idle_boots: float = 2.0  # the same for ordinary machines
-    ordinary_idle_min_s: float = 45.0
+    ordinary_idle_boots: float = 0.6  # the same for ordinary machines
+    ordinary_idle_min_s: float = 12.0
     keep_s: float = 180.0  # capacity is kept for the most that was wanted in so long
     ordinary_keep_s: float = 60.0  # the same before an ordinary machine is returned
     ordinary_s: float = 0.0  # spot machines are preferred if the start is later by less
