--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -18,7 +18,7 @@
     ordinary_idle_min_s: float = 45.0
     keep_s: float = 180.0  # capacity is kept for the most that was wanted in so long
     ordinary_keep_s: float = 60.0  # the same before an ordinary machine is returned
-    ordinary_s: float = 1.0  # spot machines are preferred if the start is later by less
+    ordinary_s: float = 0.0  # spot machines are preferred if the start is later by less
     ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
     refused_s: float = 15.0  # after "no capacity", leave that kind alone for so long
     silent_leases: float = 3.0  # a machine silent for so many leases is deleted
