--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -218,7 +218,7 @@
         now = self._clock()
         isolated = self.isolated()
         names = []
-        spare = self._capacity() - self.demand.peak(now, self._policy.keep_s)
+        spare = -self.short(now)
         ordinary = self._capacity() - self.demand.peak(now, self._policy.ordinary_keep_s)
         for machine in self._roster.machines.values():
             reason = self._reason(machine, now, isolated)
@@ -265,6 +265,11 @@
             if m.placeable or (m.heard_at is None and not m.deleting and m.listed != "failed")
         )
 
+    def short(self, now: float) -> float:
+        """CPUs missing for what may be wanted next; negative: CPUs to spare."""
+        wanted = self._policy.headroom * self.demand.peak(now, self._policy.keep_s)
+        return wanted - self._capacity()
+
     def _idle(self, machine: Machine, now: float) -> bool:
         if (
             not machine.confirmed
--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -113,3 +113,17 @@
             bins.append(fresh)
             count = _fill(job, count, [fresh])
     return [Hire(offer, count) for offer, count in hires.items()]
+
+
+def top_up(short: float, offers: list[Offer], most: int = 10) -> list[Hire]:
+    """Spot machines, the cheapest by CPU, to have `short` CPUs more at hand. Whatever is
+    started on them later does not wait for a machine to boot."""
+    hires = []
+    cheap = sorted((o for o in offers if o.loaner and o.cpus > 0), key=lambda o: o.price / o.cpus)
+    for offer in cheap:
+        count = min(int(short // offer.cpus), most)
+        if count > 0:
+            hires.append(Hire(offer, count))
+            short -= count * offer.cpus
+            most -= count
+    return hires
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -17,7 +17,7 @@
 from spoolcourse.control.leadership.election import Leadership, Office
 from spoolcourse.control.machines.cloud import Cloud
 from spoolcourse.control.machines.keeper import Keeper, Kind
-from spoolcourse.control.machines.planner import Offer, plan_hires
+from spoolcourse.control.machines.planner import Offer, plan_hires, top_up
 from spoolcourse.control.net import Net, Reply
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Plan, Snapshot
@@ -256,7 +256,10 @@
         now: float,
         builds: dict[str, Build],
     ) -> None:
-        if not plan.unplaced or self.keeper.wanted or self.keeper.renting:
+        if self.keeper.wanted or self.keeper.renting:
+            return
+        short = self.keeper.short(now)
+        if not plan.unplaced and short <= 0:
             return
         offers = [
             Offer(
@@ -277,6 +280,8 @@
         ]
         demand = [(snapshot.jobs[i], count) for i, count in plan.unplaced.items()]
         hires = plan_hires(demand, snapshot.nodes, offers, now, self._policy.ordinary_wait_s, room)
+        short -= sum(h.count * h.offer.cpus for h in hires)
+        hires += top_up(short, offers)
         if hires:
             self.keeper.wanted = [
                 (
--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -17,6 +17,7 @@
     ordinary_idle_boots: float = 2.0  # the same for ordinary machines
     ordinary_idle_min_s: float = 45.0
     keep_s: float = 180.0  # capacity is kept for the most that was wanted in so long
+    headroom: float = 1.25  # spot capacity at hand, as a multiple of that
     ordinary_keep_s: float = 60.0  # the same before an ordinary machine is returned
     ordinary_s: float = 0.0  # spot machines are preferred if the start is later by less
     ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from spoolcourse.control.machines.planner import Offer, plan_hires
+from spoolcourse.control.machines.planner import Offer, plan_hires, top_up
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot, Team
 
@@ -123,3 +123,9 @@
     # Never more than the team may use.
     hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], [], offers, 100.0, 15.0, [4.0])
     assert [h.count for h in hires] == [1]
+
+
+def test_headroom_is_filled_with_cheap_spot_machines_only() -> None:
+    offers = [offer(0.3, True), offer(0.5, True, cpus=32.0), offer(0.1, False)]
+    assert [(h.offer.cpus, h.count) for h in top_up(50.0, offers)] == [(32.0, 1), (8.0, 2)]
+    assert top_up(7.0, offers) == [] and top_up(-5.0, offers) == []
