--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -69,7 +69,6 @@
     nodes: list[Node],
     offers: list[Offer],
     now: float,
-    patience_s: float,
     team_room: list[float],
     most: int = 50,
 ) -> list[Hire]:
@@ -95,7 +94,7 @@
             for offer in offers:
                 if not _allowed(job, offer.build, offer.zone, offer.loaner):
                     continue
-                if not offer.loaner and job.loaners and now - job.arrived < patience_s:
+                if not offer.loaner and job.loaners and now < job.ordinary_at:
                     continue
                 slots = min(count, fit(offer.cpus, offer.gpus, offer.memory, job))
                 if slots < 1:
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -54,7 +54,7 @@
     held: dict[int, int] = field(default_factory=dict)  # zone: pieces that may be there
     lost: int = 0  # pieces whose machine's zone is not known
     avoid: frozenset[int] = frozenset()  # nodes where it failed
-    arrived: float = 0.0
+    ordinary_at: float = 0.0  # from then on ordinary machines may be rented for it
 
 
 @dataclass(slots=True)
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -7,7 +7,7 @@
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
 from spoolcourse.policy.defaults import Policy
 from spoolcourse.wire.messages import Build
-from spoolcourse.wire.settings import Team as TeamSettings
+from spoolcourse.wire.settings import Params
 
 # The first exception to the arrival order (docs/design.md): rank goes before arrival.
 RANKS = ("prod", "high", "standard", "best_effort")
@@ -40,21 +40,22 @@
         self,
         works: Works,
         roster: Roster,
-        teams: list[TeamSettings],
-        zones: list[str],
+        params: Params,
         policy: Policy,
     ) -> None:
         self._works = works
         self._roster = roster
-        self._team_settings = teams
+        self._team_settings = params.teams
+        self._prompt_lanes = {o.lane for o in params.objectives if o.kind == "wait"}
         self._policy = policy
-        self.teams = Index([t.name for t in teams])
-        self.zones = Index(zones)
+        self.teams = Index([t.name for t in params.teams])
+        self.zones = Index(params.zones)
         self.builds = Index()
         self._images = Index()
         self.works: list[Work] = []
         self.machines: list[Machine] = []
         self._rare_until: dict[str, float] = {}
+        self._boot_s = 0.0
 
     def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
         """Machine types that some job of late depends on, while others have a choice."""
@@ -101,6 +102,7 @@
             team.gpus -= sub.gpus * len(work.attempts)
         self.machines = []
         self._mark_rare(now, builds)
+        self._boot_s = max((b.startupS for b in builds.values()), default=0.0)
         nodes: list[Node] = []
         number_of: dict[str, int] = {}
         for machine in self._roster.machines.values():
@@ -136,6 +138,29 @@
             ordinary_s=self._policy.ordinary_s,
         )
 
+    def _ordinary_at(self, work: Work) -> float:
+        """Ordinary machines cost a multiple of spot ones. They are for work that people
+        wait for, for work within its team's guarantee, and for deadlines that would be
+        missed otherwise; the rest waits for spot machines as long as it can."""
+        sub = work.record.sub
+        soon = work.waiting_since + self._policy.ordinary_wait_s
+        if sub.lane in self._prompt_lanes or sub.dueS is None or self._guaranteed(work):
+            return soon
+        needed = 1.5 * self.estimate(work) + self._boot_s
+        return max(soon, work.waiting_since + sub.dueS - needed)
+
+    def _guaranteed(self, work: Work) -> bool:
+        """Whether the job fits into its team's guarantee with the earlier jobs."""
+        team = self._team_settings[self.teams.of(work.record.sub.crew)]
+        cpus = gpus = 0.0
+        for other in self._works.jobs.values():
+            sub = other.record.sub
+            if sub.crew == team.name and other.order <= work.order and not other.record.aborted:
+                left = sub.pieces - other.done
+                cpus += sub.vcpus * left
+                gpus += sub.gpus * left
+        return cpus <= team.cpus and gpus <= team.gpus
+
     def _strays(self) -> list[Work]:
         return [
             work
@@ -198,7 +223,7 @@
             loaners=sub.loaners,
             one_zone=sub.oneZone,
             spread=-(-sub.pieces // 2) if sub.scatter else None,
-            arrived=work.waiting_since,
+            ordinary_at=self._ordinary_at(work),
         )
         if work.bad_machines:
             job.avoid = frozenset(number_of[m] for m in work.bad_machines if m in number_of)
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -86,7 +86,7 @@
             params.workers.report_s,
             wall,
         )
-        self._surveyor = Surveyor(self.works, self.roster, params.teams, params.zones, policy)
+        self._surveyor = Surveyor(self.works, self.roster, params, policy)
         self.keeper.is_rare = lambda build: self._surveyor.is_rare(build, self._clock())
         self._tasks: list[asyncio.Task[None]] = []
         self.last_plan: Plan | None = None
@@ -279,7 +279,7 @@
             if self.keeper.open_for_hire(Kind(b.name, yard, loaner))
         ]
         demand = [(snapshot.jobs[i], count) for i, count in plan.unplaced.items()]
-        hires = plan_hires(demand, snapshot.nodes, offers, now, self._policy.ordinary_wait_s, room)
+        hires = plan_hires(demand, snapshot.nodes, offers, now, room)
         short -= sum(h.count * h.offer.cpus for h in hires)
         hires += top_up(short, offers)
         if hires:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -111,17 +111,17 @@
 
 def test_renting_takes_the_cheapest_and_counts_what_is_on_its_way() -> None:
     offers = [offer(0.3, True), offer(1.0, False)]
-    hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], [], offers, 100.0, 15.0, [1000.0])
+    hires = plan_hires([(job(8, 2.0, ordinary_at=0.0), 8)], [], offers, 100.0, [1000.0])
     assert [(h.offer.loaner, h.count) for h in hires] == [(True, 2)]
     booting = [node(ready_at=110.0)]
-    hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], booting, offers, 100.0, 15.0, [1000.0])
+    hires = plan_hires([(job(8, 2.0, ordinary_at=0.0), 8)], booting, offers, 100.0, [1000.0])
     assert [h.count for h in hires] == [1]
     # Ordinary machines are asked for once a job has waited for spot ones.
     only = [offer(1.0, False)]
-    assert plan_hires([(job(1, arrived=90.0), 1)], [], only, 100.0, 15.0, [1000.0]) == []
-    assert len(plan_hires([(job(1, arrived=80.0), 1)], [], only, 100.0, 15.0, [1000.0])) == 1
+    assert plan_hires([(job(1, ordinary_at=110.0), 1)], [], only, 100.0, [1000.0]) == []
+    assert len(plan_hires([(job(1, ordinary_at=90.0), 1)], [], only, 100.0, [1000.0])) == 1
     # Never more than the team may use.
-    hires = plan_hires([(job(8, 2.0, arrived=0.0), 8)], [], offers, 100.0, 15.0, [4.0])
+    hires = plan_hires([(job(8, 2.0, ordinary_at=0.0), 8)], [], offers, 100.0, [4.0])
     assert [h.count for h in hires] == [1]
 
 
