--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -31,7 +31,6 @@
     pulling: dict[int, float] = field(default_factory=dict)  # image: GB still to come, about
     tasks: list[RunningTask] = field(default_factory=list)
     ready_at: float = 0.0
-    surplus: bool = False  # should run empty to be returned
     rare: bool = False  # some waiting job fits nowhere else
 
 
@@ -73,6 +72,7 @@
     zones: int
     node_fetches: int
     zone_fetches: int
+    ordinary_s: float = 0.0  # a spot machine is preferred to an ordinary one so much sooner
 
 
 @dataclass(slots=True)
