--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
@@ -144,10 +146,7 @@
         missed otherwise; the rest waits for spot machines as long as it can."""
         sub = work.record.sub
         soon = work.waiting_since + self._policy.ordinary_wait_s
-        if sub.lane in self._prompt_lanes or sub.dueS is None or self._guaranteed(work):
-            return soon
-        needed = 1.5 * self.estimate(work) + self._boot_s
-        return max(soon, work.waiting_since + sub.dueS - needed)
+        return soon if sub.lane in self._prompt_lanes else math.inf
 
     def _guaranteed(self, work: Work) -> bool:
         """Whether the job fits into its team's guarantee with the earlier jobs."""
