--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -1,4 +1,4 @@
-"""Takes starts to workers at once instead of waiting for their next reports.
+"""Takes starts and halts to workers at once instead of waiting for their next reports.
 
 A command sent to `/orders` may be executed minutes late, so a start that got no answer
 stays possible on that machine until its session or our term ends (`Attempt.loose`).
@@ -32,7 +32,7 @@
                 await self.wake.wait()
                 self.wake.clear()
                 for machine in list(self._roster.machines.values()):
-                    if machine.id not in self._busy and self._roster.has_fresh_starts(machine):
+                    if machine.id not in self._busy and self._roster.has_errands(machine):
                         task = asyncio.get_running_loop().create_task(self._send(machine))
                         self._busy[machine.id] = task
         finally:
@@ -43,7 +43,7 @@
         try:
             attempts = self._roster.take_fresh_starts(machine)
             shift = machine.shift
-            orders = [
+            orders = self._roster.take_halts(machine) + [
                 {"verb": "start", "piece": piece_name(a.work.id, a.piece), "try": a.number}
                 for a in attempts
             ]
@@ -54,7 +54,7 @@
                 )
                 report = parse(reply.data, Report)
             except (NetError, Malformed) as exc:
-                log.info("%s: %d starts without an answer: %s", machine.id, len(orders), exc)
+                log.info("%s: %d orders without an answer: %s", machine.id, len(orders), exc)
                 return
             if reply.status in (200, 409) and report.spindle == machine.id:
                 for attempt in attempts:
--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from spoolcourse.control.jobs.works import Attempt, Works
+from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.leadership.election import DRIFT
 from spoolcourse.wire.messages import Piece, Report, piece_name, split_piece
 
@@ -206,7 +206,8 @@
                 attempt.loose = None  # another session: it would be refused
             if attempt.stage == "assigned" and (attempt.sent is None or attempt.sent < stamp):
                 attempt.sent = None  # that start never arrived and can't any more
-                if attempt.work.record.aborted and attempt.loose is None:
+                unwanted = attempt.work.record.aborted or attempt.halting
+                if unwanted and attempt.loose is None:
                     self.drop(attempt)
             elif attempt.stage != "assigned":
                 log.info("%s/%d: no longer on %s", *key, machine.id)
@@ -334,6 +335,22 @@
             and any(self._fresh(a) for a in machine.attempts.values())
         )
 
+    def has_errands(self, machine: Machine) -> bool:
+        return self.has_fresh_starts(machine) or (
+            machine.confirmed
+            and bool(machine.address)
+            and any(map(_to_halt, machine.attempts.values()))
+        )
+
+    def take_halts(self, machine: Machine) -> list[dict[str, Any]]:
+        """Halts to be sent to `/orders`; they name an attempt, so late ones do no harm."""
+        orders = []
+        for attempt in machine.attempts.values():
+            if _to_halt(attempt):
+                attempt.halt_sent = True
+                orders.append(_halt_order(attempt.work, attempt.piece, attempt.number))
+        return orders
+
     def take_fresh_starts(self, machine: Machine) -> list[Attempt]:
         """Starts to be sent to `/orders`; from here on they may arrive at any time."""
         fresh = [a for a in machine.attempts.values() if self._fresh(a)][:ORDERS_MAX]
@@ -368,5 +385,19 @@
             return 0.0
         attempt = machine.attempts.get((job, piece))
         if attempt is not None and attempt.halting and item.stage != "flushing":
-            return work.record.sub.markCostS + 1.0 if work.record.sub.markEveryS else 0.0
+            return _grace(work)
         return None
+
+
+def _grace(work: Work) -> float:
+    sub = work.record.sub
+    return sub.markCostS + 1.0 if sub.markEveryS > 0 else 0.0
+
+
+def _to_halt(attempt: Attempt) -> bool:
+    return attempt.halting and not attempt.halt_sent and attempt.stage in ("pulling", "running")
+
+
+def _halt_order(work: Work, piece: int, number: int) -> dict[str, Any]:
+    name = piece_name(work.id, piece)
+    return {"verb": "halt", "piece": name, "try": number, "windDownS": _grace(work)}
--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -28,6 +28,7 @@
     loose: int | None = None  # the session in which that may still arrive
     seen: bool = False
     halting: bool = False
+    halt_sent: bool = False  # to `/orders`
 
     @property
     def never_sent(self) -> bool:
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, order=True)
 class RunningTask:
     """Holds resources until about `end`."""
 
@@ -13,6 +13,11 @@
     cpus: float
     gpus: float
     memory: float
+    ref: int = -1
+    rank: int = 0  # 0 is the highest
+    team: int = 0
+    lost: float = 0.0  # CPU seconds of work that stopping it would lose
+    stopping: bool = False
 
 
 @dataclass(slots=True)
@@ -32,6 +37,11 @@
     tasks: list[RunningTask] = field(default_factory=list)
     ready_at: float = 0.0
     rare: bool = False  # some waiting job fits nowhere else
+    freed: tuple[float, float, float] = (0.0, 0.0, 0.0)  # by tasks that are being stopped
+
+    def free(self, task: RunningTask) -> None:
+        cpus, gpus, memory = self.freed
+        self.freed = (cpus + task.cpus, gpus + task.gpus, memory + task.memory)
 
 
 @dataclass(slots=True)
@@ -54,6 +64,9 @@
     held: dict[int, int] = field(default_factory=dict)  # zone: pieces that may be there
     lost: int = 0  # pieces whose machine's zone is not known
     avoid: frozenset[int] = frozenset()  # nodes where it failed
+    rank: int = 2
+    claim: bool = False  # tasks may be stopped for it
+    guaranteed: bool = False  # it fits into its team's guarantee
     ordinary_at: float = 0.0  # from then on ordinary machines may be rented for it
 
 
@@ -61,6 +74,7 @@
 class Team:
     cpus: float  # still free below its limit
     gpus: float
+    over: float = 0.0  # CPUs that it uses beyond its guarantee
 
 
 @dataclass(slots=True)
--- /dev/null
+++ b/spoolcourse/control/placement/preempt.py
@@ -0,0 +1,96 @@
+"""The second exception to the arrival order: stopping tasks for work that has a claim.
+
+A job has a claim if people wait for its class to start, or if it fits into its team's
+guarantee. For it, tasks of lower rank may be stopped, and, if it is the guarantee that
+is claimed, tasks of any rank of teams that run beyond their own.
+"""
+
+from __future__ import annotations
+
+from spoolcourse.control.placement.backfill import fit
+from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot
+
+
+def _may_stop(job: Job, task: RunningTask, over: list[float]) -> bool:
+    if task.rank > job.rank:
+        return True
+    return job.guaranteed and task.team != job.team and over[task.team] >= task.cpus
+
+
+def _node_suits(job: Job, number: int, node: Node, now: float) -> bool:
+    return (
+        node.ready_at <= now
+        and (job.zone is None or job.zone == node.zone)
+        and not (job.one_zone and any(n for z, n in job.held.items() if z != node.zone))
+        and (job.spread is None or job.held.get(node.zone, 0) + job.lost < job.spread)
+        and (job.builds is None or node.build in job.builds)
+        and (job.loaners or not node.loaner)
+        and number not in job.avoid
+    )
+
+
+def choose_victims(snapshot: Snapshot, plan: Plan, patience_s: float) -> list[int]:
+    """References of the tasks to stop. Uses up the snapshot further.
+
+    Those that lose the least work come first; one that is about to end anyway is waited
+    for. What is being stopped already counts as room.
+    """
+    chosen: list[int] = []
+    over = [team.over for team in snapshot.teams]
+    for index, missing in plan.unplaced.items():
+        job = snapshot.jobs[index]
+        if not job.claim:
+            continue
+        nodes = [
+            (number, node)
+            for number, node in enumerate(snapshot.nodes)
+            if _node_suits(job, number, node, snapshot.now)
+        ]
+        for _, node in nodes:
+            if missing > 0:
+                missing -= _take(job, node, missing)
+        victims = sorted(
+            (task.lost / max(task.cpus, 0.1), number, task)
+            for number, node in nodes
+            for task in node.tasks
+            if not task.stopping
+            and task.end > snapshot.now + patience_s
+            and _may_stop(job, task, over)
+        )
+        by_node: dict[int, list[RunningTask]] = {}
+        for _, number, task in victims:
+            if missing <= 0:
+                break
+            if not _may_stop(job, task, over):
+                continue
+            node = snapshot.nodes[number]
+            group = by_node.setdefault(number, [])
+            group.append(task)
+            room = (
+                node.cpus + node.freed[0] + sum(t.cpus for t in group),
+                node.gpus + node.freed[1] + sum(t.gpus for t in group),
+                node.memory + node.freed[2] + sum(t.memory for t in group),
+            )
+            if fit(*room, job) < 1:
+                continue
+            for victim in group:
+                victim.stopping = True
+                chosen.append(victim.ref)
+                over[victim.team] -= victim.cpus
+                node.free(victim)
+            by_node[number] = []
+            missing -= _take(job, node, missing)
+    return chosen
+
+
+def _take(job: Job, node: Node, wanted: int) -> int:
+    """Count room that is free or being freed as taken by the job."""
+    cpus, gpus, memory = node.freed
+    count = min(wanted, fit(node.cpus + cpus, node.gpus + gpus, node.memory + memory, job))
+    if count > 0:
+        node.freed = (
+            cpus - count * job.cpus,
+            gpus - count * job.gpus,
+            memory - count * job.memory,
+        )
+    return count
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
@@ -56,8 +54,10 @@
         self._images = Index()
         self.works: list[Work] = []
         self.machines: list[Machine] = []
+        self.attempts: list[Attempt] = []
         self._rare_until: dict[str, float] = {}
         self._boot_s = 0.0
+        self._within: set[str] = set()
 
     def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
         """Machine types that some job of late depends on, while others have a choice."""
@@ -91,6 +91,14 @@
             return now + (estimate - elapsed if elapsed < estimate else elapsed * 0.5 + 1.0)
         return now + max(fetch - elapsed, 0.5) + estimate
 
+    @staticmethod
+    def _lost(attempt: Attempt, now: float) -> float:
+        sub = attempt.work.record.sub
+        if attempt.stage not in ("running", "flushing"):
+            return 0.0
+        elapsed = now - attempt.since
+        return sub.vcpus * (sub.markCostS if sub.markEveryS > 0 else elapsed)
+
     def take(self, now: float, builds: dict[str, Build]) -> Snapshot:
         room = [Team(t.cpus_max, t.gpus_max) for t in self._team_settings]
         self.works = sorted(
@@ -102,7 +110,11 @@
             team = room[self.teams.of(sub.crew)]
             team.cpus -= sub.vcpus * len(work.attempts)
             team.gpus -= sub.gpus * len(work.attempts)
+        for team, settings in zip(room, self._team_settings, strict=True):
+            team.over = (settings.cpus_max - team.cpus) - settings.cpus
+        self._within = self._guarantees()
         self.machines = []
+        self.attempts = []
         self._mark_rare(now, builds)
         self._boot_s = max((b.startupS for b in builds.values()), default=0.0)
         nodes: list[Node] = []
@@ -146,19 +158,23 @@
         missed otherwise; the rest waits for spot machines as long as it can."""
         sub = work.record.sub
         soon = work.waiting_since + self._policy.ordinary_wait_s
-        return soon if sub.lane in self._prompt_lanes else math.inf
-
-    def _guaranteed(self, work: Work) -> bool:
-        """Whether the job fits into its team's guarantee with the earlier jobs."""
-        team = self._team_settings[self.teams.of(work.record.sub.crew)]
-        cpus = gpus = 0.0
-        for other in self._works.jobs.values():
-            sub = other.record.sub
-            if sub.crew == team.name and other.order <= work.order and not other.record.aborted:
-                left = sub.pieces - other.done
-                cpus += sub.vcpus * left
-                gpus += sub.gpus * left
-        return cpus <= team.cpus and gpus <= team.gpus
+        if sub.lane in self._prompt_lanes or sub.dueS is None or work.id in self._within:
+            return soon
+        needed = 1.5 * self.estimate(work) + self._boot_s
+        return max(soon, work.waiting_since + sub.dueS - needed)
+
+    def _guarantees(self) -> set[str]:
+        """Jobs that fit into their teams' guarantees together with the earlier ones."""
+        found: set[str] = set()
+        left = [[t.cpus, t.gpus] for t in self._team_settings]
+        for work in sorted(self.works, key=lambda w: w.order):
+            sub = work.record.sub
+            room = left[self.teams.of(sub.crew)]
+            room[0] -= sub.vcpus * (sub.pieces - work.done)
+            room[1] -= sub.gpus * (sub.pieces - work.done)
+            if room[0] >= 0 and room[1] >= 0:
+                found.add(work.id)
+        return found
 
     def _strays(self) -> list[Work]:
         return [
@@ -194,9 +210,21 @@
             node.cpus -= sub.vcpus
             node.gpus -= sub.gpus
             node.memory -= sub.memoryGb
-            node.tasks.append(
-                RunningTask(self._ends(attempt, now, fetch), sub.vcpus, sub.gpus, sub.memoryGb)
+            task = RunningTask(
+                self._ends(attempt, now, fetch),
+                sub.vcpus,
+                sub.gpus,
+                sub.memoryGb,
+                ref=len(self.attempts),
+                rank=RANKS.index(sub.rank),
+                team=self.teams.of(sub.crew),
+                lost=self._lost(attempt, now),
+                stopping=attempt.halting,
             )
+            if attempt.halting:
+                node.free(task)
+            self.attempts.append(attempt)
+            node.tasks.append(task)
         for job, _, _ in machine.strays:
             work = self._works.jobs.get(job)
             if work is not None:
@@ -222,8 +250,11 @@
             loaners=sub.loaners,
             one_zone=sub.oneZone,
             spread=-(-sub.pieces // 2) if sub.scatter else None,
+            rank=RANKS.index(sub.rank),
+            guaranteed=work.id in self._within,
             ordinary_at=self._ordinary_at(work),
         )
+        job.claim = job.guaranteed or sub.lane in self._prompt_lanes
         if work.bad_machines:
             job.avoid = frozenset(number_of[m] for m in work.bad_machines if m in number_of)
         if sub.oneZone or sub.scatter:
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -21,6 +21,7 @@
 from spoolcourse.control.net import Net, Reply
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Plan, Snapshot
+from spoolcourse.control.placement.preempt import choose_victims
 from spoolcourse.control.placement.snapshot import Surveyor
 from spoolcourse.control.store.client import Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import JOB, PROGRESS, split_progress
@@ -246,8 +247,19 @@
                 attempt = self.works.assign(work, piece, machine.id, number, now)
                 self.roster.link(attempt)
             log.debug("%s: %d pieces to %s", work.id, len(chosen), machine.id)
+        self._stop_for_claims(snapshot, plan)
         self._plan_machines(snapshot, plan, room, now, builds)
 
+    def _stop_for_claims(self, snapshot: Snapshot, plan: Plan) -> None:
+        for ref in choose_victims(snapshot, plan, self._policy.preempt_patience_s):
+            attempt = self._surveyor.attempts[ref]
+            log.info("%s/%d: stopped to make room", attempt.work.id, attempt.piece)
+            if attempt.never_sent:
+                self.roster.drop(attempt)
+            else:
+                attempt.halting = True
+                self.courier.wake.set()
+
     def _plan_machines(
         self,
         snapshot: Snapshot,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -5,6 +5,7 @@
 from spoolcourse.control.machines.planner import Offer, plan_hires, top_up
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot, Team
+from spoolcourse.control.placement.preempt import choose_victims
 
 
 def node(cpus: float = 8.0, size: float = 8.0, **fields: object) -> Node:
@@ -129,3 +130,49 @@
     offers = [offer(0.3, True), offer(0.5, True, cpus=32.0), offer(0.1, False)]
     assert [(h.offer.cpus, h.count) for h in top_up(50.0, offers)] == [(32.0, 1), (8.0, 2)]
     assert top_up(7.0, offers) == [] and top_up(-5.0, offers) == []
+
+
+def stopped(
+    jobs: list[Job], nodes: list[Node], over: tuple[float, float] = (0.0, 0.0)
+) -> list[int]:
+    teams = [Team(1000.0, 0.0, over[0]), Team(1000.0, 0.0, over[1])]
+    snapshot = Snapshot(100.0, jobs, nodes, teams, 2, 2, 8)
+    return choose_victims(snapshot, place(snapshot), 5.0)
+
+
+def task(ref: int, cpus: float = 4.0, lost: float = 9.0, **fields: object) -> RunningTask:
+    plain = {"rank": 2, "end": 160.0} | fields
+    end = plain.pop("end")
+    return RunningTask(end, cpus, 0.0, 1.0, ref=ref, lost=lost, **plain)  # type: ignore[arg-type]
+
+
+def test_a_claim_stops_the_lower_ranked_task_that_loses_least() -> None:
+    def nodes() -> list[Node]:
+        return [node(0.0, tasks=[task(1, lost=90.0), task(2, lost=9.0)])]
+
+    claim = {"rank": 1, "claim": True}
+    assert stopped([job(2, 2.0, **claim)], nodes()) == [2]
+    assert stopped([job(3, 2.0, **claim)], nodes()) == [2, 1]
+    assert stopped([job(2, 2.0, rank=1)], nodes()) == [], "no claim"
+    assert stopped([job(2, 2.0, rank=2, claim=True)], nodes()) == [], "not of lower rank"
+    soon = [node(0.0, tasks=[task(1, end=103.0)])]
+    assert stopped([job(1, 2.0, **claim)], soon) == [], "it ends by itself"
+    half = [node(0.0, tasks=[task(1, 1.0)])]
+    assert stopped([job(1, 2.0, **claim)], half) == [], "stopping it would not make room"
+
+
+def test_room_that_is_being_made_is_not_made_twice() -> None:
+    busy = node(0.0, tasks=[task(1, stopping=True), task(2)])
+    busy.free(busy.tasks[0])
+    assert stopped([job(2, 2.0, rank=1, claim=True)], [busy]) == []
+
+
+def test_a_guarantee_takes_back_only_what_another_team_runs_beyond_its_own() -> None:
+    def nodes() -> list[Node]:
+        return [node(0.0, tasks=[task(1, team=1), task(2, team=1)])]
+
+    mine = job(4, 2.0, claim=True, guaranteed=True)
+    assert stopped([mine], nodes(), over=(0.0, 4.0)) == [1]
+    assert stopped([mine], nodes(), over=(0.0, 3.0)) == []
+    own = [node(0.0, tasks=[task(1, team=0)])]
+    assert stopped([mine], own, over=(8.0, 0.0)) == []
