--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -18,6 +18,7 @@
     team: int = 0
     lost: float = 0.0  # CPU seconds of work that stopping it would lose
     stopping: bool = False
+    safe: bool = False  # its job is within its team's guarantee
 
 
 @dataclass(slots=True)
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -103,7 +103,13 @@
         room = [Team(t.cpus_max, t.gpus_max) for t in self._team_settings]
         self.works = sorted(
             (w for w in self._works.jobs.values() if not w.record.aborted),
-            key=lambda w: (RANKS.index(w.record.sub.rank), w.order),
+            key=lambda w: w.order,
+        )
+        self._within = self._guarantees()
+        # Work within its team's guarantee goes first, then rank, then arrival. Stopping
+        # follows the same order: otherwise two claims would stop each other in turn.
+        self.works.sort(
+            key=lambda w: (w.id not in self._within, RANKS.index(w.record.sub.rank), w.order)
         )
         for work in self._works.jobs.values():
             sub = work.record.sub
@@ -112,7 +118,6 @@
             team.gpus -= sub.gpus * len(work.attempts)
         for team, settings in zip(room, self._team_settings, strict=True):
             team.over = (settings.cpus_max - team.cpus) - settings.cpus
-        self._within = self._guarantees()
         self.machines = []
         self.attempts = []
         self._mark_rare(now, builds)
@@ -167,7 +172,7 @@
         """Jobs that fit into their teams' guarantees together with the earlier ones."""
         found: set[str] = set()
         left = [[t.cpus, t.gpus] for t in self._team_settings]
-        for work in sorted(self.works, key=lambda w: w.order):
+        for work in self.works:
             sub = work.record.sub
             room = left[self.teams.of(sub.crew)]
             room[0] -= sub.vcpus * (sub.pieces - work.done)
@@ -220,6 +225,7 @@
                 team=self.teams.of(sub.crew),
                 lost=self._lost(attempt, now),
                 stopping=attempt.halting,
+                safe=attempt.work.id in self._within,
             )
             if attempt.halting:
                 node.free(task)
