--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -20,7 +20,7 @@
     headroom: float = 1.25  # spot capacity at hand, as a multiple of that
     ordinary_keep_s: float = 60.0  # the same before an ordinary machine is returned
     ordinary_s: float = 0.0  # spot machines are preferred if the start is later by less
-    ordinary_wait_s: float = 100000.0  # wait for spot machines before ordinary ones are rented
+    ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
     refused_s: float = 15.0  # after "no capacity", leave that kind alone for so long
     silent_leases: float = 3.0  # a machine silent for so many leases is deleted
     boot_patience: float = 4.0  # a machine that boots for so many boot times is deleted
