--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -163,7 +163,7 @@
         missed otherwise; the rest waits for spot machines as long as it can."""
         sub = work.record.sub
         soon = work.waiting_since + self._policy.ordinary_wait_s
-        if work.id in self._within:
+        if sub.lane in self._prompt_lanes or sub.dueS is None or work.id in self._within:
             return soon
         needed = 1.5 * self.estimate(work) + self._boot_s
         return max(soon, work.waiting_since + sub.dueS - needed)
