--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -44,6 +44,7 @@
     up_at: float | None = None  # when it is expected, while it boots
     recall_at: float | None = None
     leaving: bool = False  # to be returned: gets no new work
+    surplus: bool = False  # gets work only if nothing else has room, and goes when idle
     deleting: bool = False  # a deletion has been asked for
     idle_since: float | None = None
     errors: set[str] = field(default_factory=set)  # jobs that failed here
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -219,15 +219,14 @@
         isolated = self.isolated()
         names = []
         spare = -self.short(now)
-        ordinary = self._capacity() - self.demand.peak(now, self._policy.ordinary_keep_s)
+        self.mark_surplus(now)
         for machine in self._roster.machines.values():
             reason = self._reason(machine, now, isolated)
             if reason is None and self._idle(machine, now):
                 cpus = self._cpus(machine)
-                if cpus <= (spare if machine.loaner else ordinary):
+                if machine.surplus or cpus <= spare:
                     reason = "it is idle"
                     spare -= cpus
-                    ordinary -= cpus
             if reason:
                 if not machine.deleting:
                     log.info("%s: returned: %s", machine.id, reason)
@@ -265,6 +264,21 @@
             if m.placeable or (m.heard_at is None and not m.deleting and m.listed != "failed")
         )
 
+    def mark_surplus(self, now: float) -> None:
+        """Ordinary machines cost a multiple of spot ones: those above what was wanted of
+        late are marked, the emptiest first, to run empty and go. Types that some jobs
+        depend on stay."""
+        policy = self._policy
+        wanted = policy.ordinary_headroom * self.demand.peak(now, policy.ordinary_keep_s)
+        spare = self._capacity() - wanted
+        ordinary = [m for m in self._roster.machines.values() if m.loaner is False and m.placeable]
+        # Those already marked stay marked if possible: they have run emptier since.
+        for machine in sorted(ordinary, key=lambda m: (not m.surplus, len(m.attempts))):
+            cpus = self._cpus(machine)
+            machine.surplus = cpus <= spare and not self.is_rare(machine.build or "")
+            if machine.surplus:
+                spare -= cpus
+
     def short(self, now: float) -> float:
         """CPUs missing for what may be wanted next; negative: CPUs to spare."""
         wanted = self._policy.headroom * self.demand.peak(now, self._policy.keep_s)
@@ -281,10 +295,10 @@
         policy, boot = self._policy, self._boot_s(machine)
         if self.is_rare(machine.build or ""):
             limit = policy.rare_s
-        elif machine.loaner:
-            limit = max(policy.idle_min_s, policy.idle_boots * boot)
+        elif machine.surplus:
+            limit = policy.surplus_idle_s
         else:
-            limit = max(policy.ordinary_idle_min_s, policy.ordinary_idle_boots * boot)
+            limit = max(policy.idle_min_s, policy.idle_boots * boot)
         return machine.leaving or now - machine.idle_since > limit
 
     def _cancel_due(self, machine: Machine, silent: float) -> bool:
--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -136,7 +136,7 @@
 
     def _place(self, index: int, job: Job, wanted: int) -> int:
         zones = set(self._zones(job))
-        choices: list[tuple[bool, float, float, int]] = []
+        choices: list[tuple[int, float, float, int]] = []
         fetch_blocked = False
         for number, node in enumerate(self.s.nodes):
             if node.ready_at > self.s.now or node.zone not in zones:
@@ -148,11 +148,11 @@
             if not self._may_fetch(job, node):
                 fetch_blocked = True
                 continue
-            # Machines that other waiting jobs depend on come last; then a short fetch
-            # counts, and that ordinary machines cost more than spot ones and should run
-            # empty; then the fullest machine, for empty ones can be returned.
-            delay = self._fetch_s(job, node) + (0.0 if node.loaner else self.s.ordinary_s)
-            choices.append((node.rare, round(delay, 1), node.cpus, number))
+            # Machines that other waiting jobs depend on come last, and those that should
+            # run empty before them; then a short fetch counts; then the fullest machine,
+            # for empty ones can be returned.
+            delay = round(self._fetch_s(job, node), 1)
+            choices.append((node.rare + 2 * node.surplus, delay, node.cpus, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
             self._narrow(job, choices, wanted)
@@ -168,7 +168,7 @@
                 self._closed_zones |= zones
         return placed
 
-    def _narrow(self, job: Job, choices: list[tuple[bool, float, float, int]], want: int) -> None:
+    def _narrow(self, job: Job, choices: list[tuple[int, float, float, int]], want: int) -> None:
         """Keep the zone that takes most of the job."""
         room: dict[int, int] = {}
         for *_, number in choices:
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -37,6 +37,7 @@
     pulling: dict[int, float] = field(default_factory=dict)  # image: GB still to come, about
     tasks: list[RunningTask] = field(default_factory=list)
     ready_at: float = 0.0
+    surplus: bool = False  # should run empty to be returned
     rare: bool = False  # some waiting job fits nowhere else
     freed: tuple[float, float, float] = (0.0, 0.0, 0.0)  # by tasks that are being stopped
 
@@ -87,7 +88,6 @@
     zones: int
     node_fetches: int
     zone_fetches: int
-    ordinary_s: float = 0.0  # a spot machine is preferred to an ordinary one so much sooner
 
 
 @dataclass(slots=True)
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -154,7 +154,6 @@
             zones=len(self.zones),
             node_fetches=self._policy.node_fetches,
             zone_fetches=self._policy.zone_fetches,
-            ordinary_s=self._policy.ordinary_s,
         )
 
     def _ordinary_at(self, work: Work) -> float:
@@ -201,6 +200,7 @@
             pull_rate=build.pullGbPerS,
             images={self._images.of(i) for i in machine.images},
             rare=self.is_rare(build.name, now),
+            surplus=machine.surplus,
         )
         rate = max(build.pullGbPerS, 1e-3)
         for attempt in machine.attempts.values():
--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -14,12 +14,11 @@
     default_estimate_s: float = 60.0  # for jobs without an estimate
     idle_boots: float = 2.0  # an idle spot machine is returned after so many boot times
     idle_min_s: float = 45.0  # but not before
-    ordinary_idle_boots: float = 2.0  # the same for ordinary machines
-    ordinary_idle_min_s: float = 45.0
+    surplus_idle_s: float = 10.0  # an idle ordinary machine that is surplus is returned sooner
     keep_s: float = 180.0  # capacity is kept for the most that was wanted in so long
     headroom: float = 1.25  # spot capacity at hand, as a multiple of that
-    ordinary_keep_s: float = 60.0  # the same before an ordinary machine is returned
-    ordinary_s: float = 0.0  # spot machines are preferred if the start is later by less
+    ordinary_headroom: float = 1.1  # ordinary machines above this multiple of the peak
+    ordinary_keep_s: float = 30.0  # in so long are surplus
     ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
     refused_s: float = 15.0  # after "no capacity", leave that kind alone for so long
     silent_leases: float = 3.0  # a machine silent for so many leases is deleted
