--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from spoolcourse.control.fleet.roster import Machine, Roster
@@ -64,6 +64,10 @@
         self._wall = wall
         self._hires = 0
         self.demand = Demand(max(policy.keep_s, policy.ordinary_keep_s))
+        # Machines that were there before the service first ran: the operators chose to
+        # have them, so they are used, but not returned for being idle.
+        self.base: Callable[[], frozenset[str]] = frozenset
+        self.on_list: Callable[[list[Host]], Awaitable[None]] | None = None
         # Types that some jobs have no choice but to use are kept, within reason.
         self.is_rare: Callable[[str], bool] = lambda build: False
         self.refusals: dict[Kind, Refusal] = {}
@@ -79,6 +83,8 @@
                 sent = self._clock()
                 hosts = await self._cloud.hosts()
                 self.take_list(hosts, sent)
+                if self.on_list is not None:
+                    await self.on_list(hosts)
                 await self._probe(hosts)
             except CloudError as exc:
                 log.info("machine list: %s", exc)
@@ -271,7 +277,12 @@
         policy = self._policy
         wanted = policy.ordinary_headroom * self.demand.peak(now, policy.ordinary_keep_s)
         spare = self._capacity() - wanted
-        ordinary = [m for m in self._roster.machines.values() if m.loaner is False and m.placeable]
+        base = self.base()
+        ordinary = [
+            m
+            for m in self._roster.machines.values()
+            if m.loaner is False and m.placeable and m.id not in base
+        ]
         # Those already marked stay marked if possible: they have run emptier since.
         for machine in sorted(ordinary, key=lambda m: (not m.surplus, len(m.attempts))):
             cpus = self._cpus(machine)
@@ -287,6 +298,7 @@
     def _idle(self, machine: Machine, now: float) -> bool:
         if (
             not machine.confirmed
+            or machine.id in self.base()
             or machine.attempts
             or machine.strays
             or machine.idle_since is None
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -23,11 +23,11 @@
 from spoolcourse.control.placement.model import Plan, Snapshot
 from spoolcourse.control.placement.preempt import choose_victims
 from spoolcourse.control.placement.snapshot import Surveyor
-from spoolcourse.control.store.client import Refused, StoreClient, Unclear
-from spoolcourse.control.store.keys import JOB, PROGRESS, split_progress
+from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
+from spoolcourse.control.store.keys import BASE, JOB, PROGRESS, TERM, split_progress
 from spoolcourse.control.store.mirror import Mirror
 from spoolcourse.policy.defaults import Policy
-from spoolcourse.wire.messages import Build, Report
+from spoolcourse.wire.messages import Build, Host, Report
 from spoolcourse.wire.settings import Params
 
 log = logging.getLogger(__name__)
@@ -89,6 +89,9 @@
         )
         self._surveyor = Surveyor(self.works, self.roster, params, policy)
         self.keeper.is_rare = lambda build: self._surveyor.is_rare(build, self._clock())
+        self.keeper.base = self._base
+        self.keeper.on_list = self._store_base
+        self._client = client
         self._tasks: list[asyncio.Task[None]] = []
         self.last_plan: Plan | None = None
 
@@ -165,6 +168,28 @@
         """True if the job can't be live: every start was preceded by its record."""
         return self.ready.is_set() and job not in self._book.live and job not in self.works.jobs
 
+    def _base(self) -> frozenset[str]:
+        entry = self._mirror.get(BASE)
+        return frozenset(entry.value["machines"]) if entry is not None else frozenset()
+
+    async def _store_base(self, hosts: list[Host]) -> None:
+        """Once and for all, at the first list that any leader ever gets."""
+        if self._mirror.get(BASE) is not None:
+            return
+        names = [h.id for h in hosts if not h.loaners and h.stage == "running"]
+        room = int(self._params.state.value_kb * 1024) // 40
+        value = {"machines": names if self._office.term == 1 else []}
+        if len(names) > room:
+            value = {"machines": []}  # a fleet of that size is not kept by name
+        try:
+            conditions = {BASE: 0, TERM: self._office.stamp}
+            outcome = await self._client.txn(conditions, [Put(BASE, value)])
+        except (Refused, Unclear) as exc:
+            log.info("the fleet found at the start is not noted yet: %s", exc)
+            return
+        if outcome.ok:
+            self._mirror.apply(BASE, value, outcome.ledger)
+
     def _disk_gb(self, build: str) -> float:
         known = self._builds().get(build)
         return known.localGb if known else 0.0
--- a/spoolcourse/control/store/keys.py
+++ b/spoolcourse/control/store/keys.py
@@ -4,6 +4,7 @@
 LIVE = PREFIX + "live/"
 LEADER = LIVE + "leader"
 TERM = LIVE + "term"
+BASE = LIVE + "base"  # machines found when the service first ran
 CATALOG = LIVE + "catalog"
 JOB = LIVE + "job/"
 PROGRESS = LIVE + "prog/"
