--- a/spoolcourse/control/placement/preempt.py
+++ b/spoolcourse/control/placement/preempt.py
@@ -2,9 +2,8 @@
 
 A job has a claim if people wait for its class to start, or if it fits into its team's
 guarantee. For it, tasks of lower rank may be stopped, and, if it is the guarantee that
-is claimed, tasks of any rank of teams that run beyond their own. Tasks of jobs within
-their own teams' guarantees are left alone: the order of service puts those first, and
-two claims must not stop each other in turn.
+is claimed, tasks of the same rank of teams that run beyond their own. That is the order
+of service as well (rank, guarantee, arrival): two claims must not stop each other in turn.
 """
 
 from __future__ import annotations
@@ -14,11 +13,11 @@
 
 
 def _may_stop(job: Job, task: RunningTask, over: list[float]) -> bool:
-    if task.safe:
+    if task.rank != job.rank:
+        return task.rank > job.rank
+    if task.safe or not job.guaranteed:
         return False
-    if task.rank > job.rank:
-        return True
-    return job.guaranteed and task.team != job.team and over[task.team] >= task.cpus
+    return task.team != job.team and over[task.team] >= task.cpus
 
 
 def _node_suits(job: Job, number: int, node: Node, now: float) -> bool:
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -106,10 +106,10 @@
             key=lambda w: w.order,
         )
         self._within = self._guarantees()
-        # Work within its team's guarantee goes first, then rank, then arrival. Stopping
+        # Rank goes first, then work within its team's guarantee, then arrival. Stopping
         # follows the same order: otherwise two claims would stop each other in turn.
         self.works.sort(
-            key=lambda w: (w.id not in self._within, RANKS.index(w.record.sub.rank), w.order)
+            key=lambda w: (RANKS.index(w.record.sub.rank), w.id not in self._within, w.order)
         )
         for work in self._works.jobs.values():
             sub = work.record.sub
