--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -190,7 +190,11 @@
 
     def _refused(self, kind: Kind) -> None:
         before = self.refusals.get(kind)
-        pause = min(before.pause * 2, 60.0) if before else self._policy.refused_s
+        pause = (
+            min(before.pause * 1.5, 4 * self._policy.refused_s)
+            if before
+            else self._policy.refused_s
+        )
         self.refusals[kind] = Refusal(self._clock() + pause, pause)
         log.info("no more %s in %s, spot %s, for now", *_words(kind))
 
--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -20,7 +20,7 @@
     ordinary_headroom: float = 1.1  # ordinary machines above this multiple of the peak
     ordinary_keep_s: float = 30.0  # in so long are surplus
     ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
-    refused_s: float = 15.0  # after "no capacity", leave that kind alone for so long
+    refused_s: float = 5.0  # after "no capacity", leave that kind alone for so long
     silent_leases: float = 3.0  # a machine silent for so many leases is deleted
     boot_patience: float = 4.0  # a machine that boots for so many boot times is deleted
     rare_s: float = 300.0  # a type that a job had no choice but to use is spared for so long
