--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -148,14 +148,11 @@
             if not self._may_fetch(job, node):
                 fetch_blocked = True
                 continue
-            # Machines that should run empty come last, and before them those that other
-            # waiting jobs depend on. Work that nobody waits for prefers spot machines, so
-            # that ordinary ones can run empty. Then a short fetch counts; then the
-            # fullest machine, for empty ones can be returned.
-            group = node.rare + 2 * node.surplus
-            costly = not node.loaner and not job.claim and not node.surplus
+            # Machines that other waiting jobs depend on come last, and those that should
+            # run empty before them; then a short fetch counts; then the fullest machine,
+            # for empty ones can be returned.
             delay = round(self._fetch_s(job, node), 1)
-            choices.append((2 * group + costly, delay, node.cpus, number))
+            choices.append((node.rare + 2 * node.surplus, delay, node.cpus, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
             self._narrow(job, choices, wanted)
