--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -157,12 +157,13 @@
         )
 
     def _ordinary_at(self, work: Work) -> float:
-        """Ordinary machines cost a multiple of spot ones. They are for work that people
-        wait for, for work within its team's guarantee, and for deadlines that would be
-        missed otherwise; the rest waits for spot machines as long as it can."""
+        """Ordinary machines cost a multiple of spot ones. They are for deadlines that
+        would be missed otherwise, and for work without one; the rest waits for spot
+        machines as long as it can. A wait aim or a guarantee is missed by the time that a
+        machine has booted, so neither is a reason to rent one."""
         sub = work.record.sub
         soon = work.waiting_since + self._policy.ordinary_wait_s
-        if sub.lane in self._prompt_lanes or sub.dueS is None or work.id in self._within:
+        if sub.dueS is None:
             return soon
         needed = 1.5 * self.estimate(work) + self._boot_s
         return max(soon, work.waiting_since + sub.dueS - needed)
