--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -121,7 +121,7 @@
         self.machines = []
         self.attempts = []
         self._mark_rare(now, builds)
-        self._boot_s = min((b.startupS for b in builds.values()), default=0.0)
+        self._boot_s = max((b.startupS for b in builds.values()), default=0.0)
         nodes: list[Node] = []
         number_of: dict[str, int] = {}
         for machine in self._roster.machines.values():
