--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -130,6 +130,7 @@
                 orphans.append(entry.key)
         for job, record in self._book.live.items():
             work = self.works.restore(record, now, saved.get(job, {}))
+            work.waiting_since = now - max(0.0, self._wall() - record.at)
             for attempt in work.attempts.values():
                 self.roster.link(attempt)
         log.info(
