--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import math
-
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
@@ -59,7 +57,6 @@
         self.attempts: list[Attempt] = []
         self._rare_until: dict[str, float] = {}
         self._boot_s = 0.0
-        self._now = 0.0
         self._within: set[str] = set()
 
     def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
@@ -103,7 +100,6 @@
         return sub.vcpus * (sub.markCostS if sub.markEveryS > 0 else elapsed)
 
     def take(self, now: float, builds: dict[str, Build]) -> Snapshot:
-        self._now = now
         room = [Team(t.cpus_max, t.gpus_max) for t in self._team_settings]
         self.works = sorted(
             (w for w in self._works.jobs.values() if not w.record.aborted),
@@ -183,8 +179,6 @@
         soon = work.waiting_since + self._policy.ordinary_wait_s
         if sub.dueS is None:
             return soon
-        if self._too_late(work, self._now):
-            return math.inf  # it is too late for it, whatever is rented
         needed = self._policy.rescue_estimates * self.estimate(work) + self._boot_s
         return max(soon, work.waiting_since + sub.dueS - needed)
 
