--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -108,12 +108,10 @@
         self._within = self._guarantees()
         # Rank goes first, then work within its team's guarantee, then arrival. Stopping
         # follows the same order: otherwise two claims would stop each other in turn.
-        # A job that can't meet its deadline any more lets those pass that still can.
         self.works.sort(
             key=lambda w: (
                 RANKS.index(w.record.sub.rank),
                 w.id not in self._within,
-                self._too_late(w, now),
                 w.order,
             )
         )
@@ -162,14 +160,6 @@
             zone_fetches=self._policy.zone_fetches,
         )
 
-    def _too_late(self, work: Work, now: float) -> bool:
-        due = work.record.sub.dueS
-        if due is None:
-            return False
-        age = now - work.waiting_since
-        # Not for ever: in the end arrival counts again.
-        return due - 0.7 * self.estimate(work) < age < self._policy.late_yield * due
-
     def _ordinary_at(self, work: Work) -> float:
         """Ordinary machines cost a multiple of spot ones. They are for deadlines that
         would be missed otherwise, and for work without one; the rest waits for spot
--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -26,4 +26,3 @@
     rare_s: float = 300.0  # a type that a job had no choice but to use is spared for so long
     preempt_patience_s: float = 5.0  # a task that ends within so long is not stopped
     rescue_estimates: float = 1.5  # a deadline less than so many estimates away is in danger
-    late_yield: float = 3.0  # a late job lets others pass until so many times its deadline
