--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -152,15 +152,24 @@
             # run empty before them; then a short fetch counts; then the fullest machine,
             # for empty ones can be returned.
             delay = round(self._fetch_s(job, node), 1)
-            choices.append((node.rare + 2 * node.surplus, delay, node.cpus, number))
+            # Where the image has to be fetched, the emptiest comes first: see below.
+            free = node.cpus if delay == 0.0 else -node.cpus
+            choices.append((node.rare + 2 * node.surplus, delay, free, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
             self._narrow(job, choices, wanted)
         placed = 0
-        for _, _, _, number in choices:
+        # Machines that must fetch the image get one piece each at first: the fetches run
+        # side by side, and the more machines have an image, the sooner its next job starts.
+        for _, delay, _, number in choices:
             if placed >= wanted:
                 break
-            placed += self._put(index, job, number, wanted - placed)
+            placed += self._put(index, job, number, wanted - placed if delay == 0.0 else 1)
+        for _, delay, _, number in choices:
+            if placed >= wanted:
+                break
+            if delay > 0.0:
+                placed += self._put(index, job, number, wanted - placed)
         if fetch_blocked and placed < wanted:
             self.plan.why[index] = "image fetch"
             if self.plan.head is None and self.s.zone_fetches < 1:
