--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -154,7 +154,10 @@
             delay = round(self._fetch_s(job, node), 1)
             # Where the image has to be fetched, the emptiest comes first: see below.
             free = node.cpus if delay == 0.0 else -node.cpus
-            choices.append((node.rare + 2 * node.surplus, delay, free, number))
+            group = node.rare + 2 * node.surplus
+            if job.claim and delay > 0.0:
+                group += 4  # people wait: an image at hand counts most
+            choices.append((group, delay, free, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
             self._narrow(job, choices, wanted)
