--- a/spoolcourse/policy/defaults.py
+++ b/spoolcourse/policy/defaults.py
@@ -16,8 +16,8 @@
     idle_min_s: float = 45.0  # but not before
     surplus_idle_s: float = 10.0  # an idle ordinary machine that is surplus is returned sooner
     keep_s: float = 180.0  # capacity is kept for the most that was wanted in so long
-    headroom: float = 1.6  # spot capacity at hand, as a multiple of that
-    ordinary_headroom: float = 0.9  # ordinary machines above this multiple of the peak
+    headroom: float = 1.25  # spot capacity at hand, as a multiple of that
+    ordinary_headroom: float = 0.7  # ordinary machines above this multiple of the peak
     ordinary_keep_s: float = 30.0  # in so long are surplus
     ordinary_wait_s: float = 15.0  # wait for spot machines before ordinary ones are rented
     refused_s: float = 5.0  # after "no capacity", leave that kind alone for so long
