--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -157,11 +157,7 @@
             group = node.rare + 2 * node.surplus
             if job.claim and delay > 0.0:
                 group += 4  # people wait: an image at hand counts most
-            if node.surplus and not job.claim:
-                # Gather what has to go there on the fullest, so that the others run empty.
-                choices.append((group, 0.0, node.cpus / max(node.size, 1.0), number))
-            else:
-                choices.append((group, delay, free, number))
+            choices.append((group, delay, free, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
             self._narrow(job, choices, wanted)
@@ -171,8 +167,7 @@
         for _, delay, _, number in choices:
             if placed >= wanted:
                 break
-            few = delay > 0.0
-            placed += self._put(index, job, number, 1 if few else wanted - placed)
+            placed += self._put(index, job, number, wanted - placed if delay == 0.0 else 1)
         for _, delay, _, number in choices:
             if placed >= wanted:
                 break
