--- a/spoolcourse/cli.py
+++ b/spoolcourse/cli.py
@@ -12,6 +12,7 @@
 
 from spoolcourse import __version__
 from spoolcourse.errors import UserError
+from spoolcourse.policy.keys import PolicySource, load_policy
 from spoolcourse.wire.settings import Settings, load_settings, split_address
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
@@ -31,14 +32,21 @@
     check = commands.add_parser("check", help="check a settings file without running")
     check.add_argument("--config", required=True, metavar="FILE", help="settings file (JSON)")
 
+    for command in (serve, check):
+        command.add_argument("--policy", metavar="FILE", help="operators' policy (TOML)")
+
     submit = commands.add_parser("submit", help="submit a job")
     submit.add_argument("file", metavar="FILE", help="the job as JSON; - for standard input")
     status = commands.add_parser("status", help="show a job's state")
     status.add_argument("job", metavar="JOB")
     cancel = commands.add_parser("cancel", help="cancel a job")
     cancel.add_argument("job", metavar="JOB")
-    for command in (submit, status, cancel):
-        command.add_argument("--node", required=True, metavar="HOST:PORT", help="a controller")
+    view = commands.add_parser("view", help="show what waits on the leader, and why")
+    for command in (submit, status, cancel, view):
+        where = "its own address" if command is view else "its users' address"
+        command.add_argument(
+            "--node", required=True, metavar="HOST:PORT", help=f"a controller, {where}"
+        )
         command.add_argument(
             "--timeout", type=float, default=5.0, metavar="S", help="wait so long for the answer"
         )
@@ -58,11 +66,11 @@
         logging.getLogger(noisy).setLevel(max(logging.WARNING, LEVELS[name]))
 
 
-async def _serve(settings: Settings) -> None:
+async def _serve(settings: Settings, policy: PolicySource) -> None:
     from spoolcourse.control.net import HttpNet, listen
     from spoolcourse.control.service import Controller
 
-    controller = Controller(settings, HttpNet())
+    controller = Controller(settings, HttpNet(), policy)
     for field, handler in (
         ("cluster_listen", controller.peers),
         ("listen", controller.public),
@@ -76,7 +84,9 @@
     await controller.run()
 
 
-async def _call(node: str, method: str, path: str, body: Any, timeout: float) -> int:
+async def _call(
+    node: str, method: str, path: str, body: Any, timeout: float, indent: bool = False
+) -> int:
     from spoolcourse.control.net import HttpNet, NetError
 
     net = HttpNet()
@@ -89,7 +99,7 @@
     if reply.status in (200, 201):
         import orjson
 
-        print(orjson.dumps(reply.data).decode())
+        print(orjson.dumps(reply.data, option=orjson.OPT_INDENT_2 if indent else 0).decode())
         return 0
     error = reply.data.get("error") if isinstance(reply.data, dict) else None
     raise UserError(f"{node} answered {reply.status}: {error or 'no reason given'}")
@@ -105,16 +115,19 @@
 def _run(args: argparse.Namespace) -> int:
     if args.command == "check":
         settings = load_settings(args.config)
+        load_policy(args.policy)
         print(f"{args.config}: ok: {settings.label}, {len(settings.seeds)} peers")
         return 0
     if args.command == "serve":
         _log_setup()
-        asyncio.run(_serve(load_settings(args.config)))
+        asyncio.run(_serve(load_settings(args.config), load_policy(args.policy)))
         return 0
     split_address(args.node, "--node")
     if args.command == "submit":
         raw = _read_job(args.file)
         return asyncio.run(_call(args.node, "POST", "/submissions", raw, args.timeout))
+    if args.command == "view":
+        return asyncio.run(_call(args.node, "GET", "/status", None, args.timeout, indent=True))
     from spoolcourse.wire.messages import JOB_ID
 
     if not JOB_ID.fullmatch(args.job):
@@ -130,7 +143,8 @@
     try:
         return _run(args)
     except UserError as exc:
-        print(f"spoolcourse: {exc}", file=sys.stderr)
+        for line in str(exc).splitlines():
+            print(f"spoolcourse: {line}", file=sys.stderr)
         return 1
     except KeyboardInterrupt:
         return 130
--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -49,6 +49,7 @@
         self._run_id = run_id
         self._ttl_s = ttl_s
         self.office: Office | None = None
+        self.terms = 0  # elected so many times
         self._valid_until = float("-inf")
         self._changed = asyncio.Event()
         self._deposed = asyncio.Event()
@@ -144,6 +145,7 @@
         self._mirror.apply(LEADER, claim, stamp)
         self._mirror.apply(TERM, {"term": number, "run": self._run_id}, stamp)
         self.office = Office(number, stamp, lease)
+        self.terms += 1
         self._deposed.clear()
         self._valid_until = sent + self._ttl_s * (1 - DRIFT)
         self._client.set_leader(True)
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -15,7 +15,7 @@
 from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
 from spoolcourse.control.machines.demand import Demand
 from spoolcourse.control.net import Net, NetError
-from spoolcourse.policy.defaults import Policy
+from spoolcourse.policy.keys import KEYS, Policy
 from spoolcourse.wire.messages import Build, Host, Malformed, Report, parse
 
 log = logging.getLogger(__name__)
@@ -63,7 +63,7 @@
         self._report_s = report_s
         self._wall = wall
         self._hires = 0
-        self.demand = Demand(max(policy.keep_s, policy.ordinary_keep_s))
+        self.demand = Demand(KEYS["keep_s"].high)
         # Machines that were there before the service first ran: the operators chose to
         # have them, so they are used, but not returned for being idle.
         self.base: Callable[[], frozenset[str]] = frozenset
--- a/spoolcourse/control/net.py
+++ b/spoolcourse/control/net.py
@@ -114,11 +114,12 @@
         except Exception:
             log.exception("%s %s failed", request.method, request.path)
             reply = Reply(503, {"error": "internal"}, {"Retry-After": "1"})
+        plain = isinstance(reply.data, bytes)
+        headers = {"Content-Type": "application/json"} | reply.headers
         return web.Response(
             status=reply.status,
-            body=orjson.dumps(reply.data) if reply.data is not None else b"{}",
-            headers=reply.headers,
-            content_type="application/json",
+            body=reply.data if plain else orjson.dumps(reply.data or {}),
+            headers=headers,
         )
 
     server = web.Server(serve, access_log=None, keepalive_timeout=60.0)
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -5,7 +5,7 @@
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
-from spoolcourse.policy.defaults import Policy
+from spoolcourse.policy.keys import Policy
 from spoolcourse.wire.messages import Build
 from spoolcourse.wire.settings import Params
 
@@ -156,8 +156,8 @@
             nodes=nodes,
             teams=room,
             zones=len(self.zones),
-            node_fetches=self._policy.node_fetches,
-            zone_fetches=self._policy.zone_fetches,
+            node_fetches=int(self._policy.node_fetches),
+            zone_fetches=int(self._policy.zone_fetches),
         )
 
     def _ordinary_at(self, work: Work) -> float:
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -26,7 +26,7 @@
 from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import BASE, JOB, PROGRESS, TERM, split_progress
 from spoolcourse.control.store.mirror import Mirror
-from spoolcourse.policy.defaults import Policy
+from spoolcourse.policy.keys import PolicySource
 from spoolcourse.wire.messages import Build, Host, Report
 from spoolcourse.wire.settings import Params
 
@@ -44,7 +44,7 @@
         net: Net,
         cloud: Cloud,
         params: Params,
-        policy: Policy,
+        policy_source: PolicySource,
         builds: Callable[[], dict[str, Build]],
         wall: Callable[[], float],
     ) -> None:
@@ -53,7 +53,10 @@
         self._mirror = mirror
         self._book = book
         self._params = params
-        self._policy = policy
+        self._policy_source = policy_source
+        policy = self._policy = policy_source.initial()
+        self.pass_cost_s = 0.0
+        self.passes = 0
         self._builds = builds
         self._wall = wall
         self._clock = asyncio.get_running_loop().time
@@ -93,7 +96,7 @@
         self.keeper.on_list = self._store_base
         self._client = client
         self._tasks: list[asyncio.Task[None]] = []
-        self.last_plan: Plan | None = None
+        self._why: dict[str, str] = {}
 
     # -- life -------------------------------------------------------------------------
 
@@ -195,6 +198,24 @@
         known = self._builds().get(build)
         return known.localGb if known else 0.0
 
+    def waiting(self) -> list[dict[str, Any]]:
+        """Jobs with pieces that wait, in order of arrival, and what for."""
+        now = self._clock()
+        return [
+            {
+                "id": work.id,
+                "lane": work.record.sub.lane,
+                "crew": work.record.sub.crew,
+                "pieces": work.pending,
+                "waitsS": round(now - work.waiting_since, 1),
+                "why": "an error's pause"
+                if work.retry_at > now
+                else self._why.get(work.id, "next pass"),
+            }
+            for work in sorted(self.works.jobs.values(), key=lambda w: w.order)
+            if work.pending > 0 and not work.record.aborted
+        ]
+
     # -- changes of jobs ------------------------------------------------------------------
 
     def on_change(self, key: str, value: Any, stamp: int) -> None:
@@ -241,13 +262,28 @@
             except TimeoutError:
                 pass
             self._wake.clear()
-            cost = 0.0
             if self._may_start():
                 began = time.process_time()
                 self._run_pass()
-                cost = time.process_time() - began
-            # Rounds widen with the load: a pass takes at most a fifth of the time.
-            await asyncio.sleep(max(self._policy.pass_gap_s, 4 * cost))
+                self.pass_cost_s = time.process_time() - began
+            # Rounds widen with the load, by the policy: what changes meanwhile is decided
+            # together in the next one.
+            await asyncio.sleep(self._policy.pass_gap_s)
+
+    def _refresh_policy(self, snapshot: Snapshot, wanted: float) -> None:
+        at_hand = sum(node.size for node in snapshot.nodes)
+        self._policy_source.refresh(
+            self._policy,
+            {
+                "waiting_jobs": float(sum(1 for job in snapshot.jobs if job.pending > 0)),
+                "machines": float(len(snapshot.nodes)),
+                "load": wanted / at_hand if at_hand > 0 else 0.0,
+                "pass_cost_s": self.pass_cost_s,
+                "boot_s": max((b.startupS for b in self._builds().values()), default=1.0),
+                "report_s": self._params.workers.report_s,
+                "lease_s": self._params.workers.lease_s,
+            },
+        )
 
     def _run_pass(self) -> None:
         now = self._clock()
@@ -258,10 +294,13 @@
         held = sum(w.record.sub.vcpus * len(w.attempts) for w in self.works.jobs.values())
         room = [team.cpus for team in snapshot.teams]
         plan = place(snapshot)
-        self.last_plan = plan
+        self.passes += 1
+        self._why = {self._surveyor.works[i].id: why for i, why in plan.why.items()}
         missing = sum(snapshot.jobs[i].cpus * count for i, count in plan.unplaced.items())
         placed = sum(snapshot.jobs[d.job].cpus * d.count for d in plan.decisions)
-        self.keeper.demand.note(now, held + placed + missing)
+        wanted = held + placed + missing
+        self.keeper.demand.note(now, wanted)
+        self._refresh_policy(snapshot, wanted)
         for decision in plan.decisions:
             work = self._surveyor.works[decision.job]
             machine = self._surveyor.machines[decision.node]
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -10,6 +10,7 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+from spoolcourse.control import view
 from spoolcourse.control.intake.api import PATH, Intake, later
 from spoolcourse.control.jobs.book import Book
 from spoolcourse.control.leadership.election import Leadership, Office
@@ -19,7 +20,7 @@
 from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import CATALOG, PREFIX
 from spoolcourse.control.store.mirror import Mirror
-from spoolcourse.policy.defaults import Policy
+from spoolcourse.policy.keys import PolicySource, check_policy
 from spoolcourse.wire.messages import Build, Catalog, Malformed, parse, parse_report
 from spoolcourse.wire.settings import Settings
 
@@ -31,14 +32,15 @@
         self,
         settings: Settings,
         net: Net,
-        policy: Policy | None = None,
+        policy: PolicySource | None = None,
         wall: Callable[[], float] = time.time,
         run_id: str | None = None,
     ) -> None:
         params = settings.settings
         self._settings = settings
+        self.label = settings.label
         self._net = net
-        self._policy = policy or Policy()
+        self._policy = policy or check_policy({}, "defaults")
         self._wall = wall
         self._clock = asyncio.get_running_loop().time
         nodes = len(settings.seeds) + 1
@@ -65,9 +67,8 @@
         self.reign: Reign | None = None
         self.mirror.listen(self._on_change)
         self._tasks: list[asyncio.Task[None]] = []
-        self._ready = False
-        self._healthy = True
-        self._served_at = float("-inf")
+        self.ready = False
+        self.healthy = True
 
     # -- life -------------------------------------------------------------------------
 
@@ -182,16 +183,16 @@
         while True:
             await asyncio.sleep(1.0)
             if self.mirror.loaded.is_set() and self.builds:
-                self._ready = True
-            if not self._ready:
+                self.ready = True
+            if not self.ready:
                 continue
             if self._clock() - self.mirror.synced_at < 2.0 or await self.mirror.sync(1.0):
-                self._healthy = True
+                self.healthy = True
                 continue
             answers = await asyncio.gather(
                 *(self._ask_peer(seed.endpoint) for seed in self._settings.seeds)
             )
-            self._healthy = not self._settings.seeds or any(answers)
+            self.healthy = not self._settings.seeds or any(answers)
 
     async def _ask_peer(self, endpoint: str) -> bool:
         try:
@@ -208,21 +209,25 @@
         if path == "/v1/report" and request.method == "POST":
             return await self._report(request.body)
         if path == "/healthz":
-            ok = self._ready and self._healthy
+            ok = self.ready and self.healthy
             return Reply(200 if ok else 503, {"ok": ok})
         if path == PATH or path.startswith(PATH + "/"):
-            if not self._ready:
+            if not self.ready:
                 return later("starting")
             return await self.intake.handle(request)
         return Reply(404, {"error": "no such resource"})
 
     async def peers(self, request: Request) -> Reply:
-        """Other controllers: what they pass on goes no further."""
+        """Other controllers, whose requests go no further, and operators."""
         path = urlsplit(request.path).path
         if path == "/healthz":
-            return Reply(200 if self._ready else 503, {})
+            return Reply(200 if self.ready else 503, {})
+        if path == "/status" and request.method == "GET":
+            return Reply(200, view.status(self))
+        if path == "/metrics" and request.method == "GET":
+            return Reply(200, view.metrics(self), {"Content-Type": "text/plain; version=0.0.4"})
         if path == PATH or path.startswith(PATH + "/"):
-            if not self._ready:
+            if not self.ready:
                 return later("starting")
             return await self.intake.handle(request, hop=True)
         return Reply(404, {"error": "no such resource"})
--- a/spoolcourse/control/store/client.py
+++ b/spoolcourse/control/store/client.py
@@ -96,6 +96,7 @@
         # writes is larger; shares add up to less than the whole.
         self._requests = Bucket(limits.rps / (nodes + 0.5), limits.rps / (nodes + 0.5))
         self._nodes = nodes
+        self.sent = self.failed = self.written = 0
         self._writes = Bucket(1.0, 1.0)
         self.set_leader(False)
 
@@ -109,6 +110,14 @@
         self, method: str, path: str, body: Any = None, *, urgent: bool = False, wait: float = 0.0
     ) -> Reply:
         await self._requests.take(urgent=urgent)
+        self.sent += 1
+        try:
+            return await self._send(method, path, body, wait)
+        except (Refused, Unclear):
+            self.failed += 1
+            raise
+
+    async def _send(self, method: str, path: str, body: Any, wait: float) -> Reply:
         try:
             reply = await self._net.call(
                 self._addr, method, path, body, timeout=self.timeout + wait
@@ -161,6 +170,7 @@
         body: dict[str, Any] = {"if": [{"k": k, "stamp": s} for k, s in conditions.items()]}
         if ops:
             await self._writes.take(len(ops), urgent=urgent)
+            self.written += len(ops)
             body["apply"] = [op.wire() for op in ops]
         reply = await self._call("POST", "/multi", body, urgent=urgent)
         if reply.status == 200:
--- /dev/null
+++ b/spoolcourse/control/view.py
@@ -0,0 +1,110 @@
+"""Read-only views for operators, on the controllers' own address: status and metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from spoolcourse.control.reign import Reign
+    from spoolcourse.control.service import Controller
+
+JOBS_SHOWN = 200
+
+
+def _leader(reign: Reign) -> dict[str, Any]:
+    machines = reign.roster.machines.values()
+    attempts = [a for w in reign.works.jobs.values() for a in w.attempts.values()]
+    waiting = reign.waiting()
+    return {
+        "jobs": len(reign.works.jobs),
+        "waiting": waiting[:JOBS_SHOWN],
+        "waitingJobs": len(waiting),
+        "waitingPieces": sum(entry["pieces"] for entry in waiting),
+        "attempts": len(attempts),
+        "unprovenAttempts": sum(1 for a in attempts if a.stage == "open" or a.loose is not None),
+        "fetchesBooked": sum(len(m.pulling) for m in machines),
+        "machines": len(machines),
+        "machinesConfirmed": sum(1 for m in machines if m.confirmed),
+        "passes": reign.passes,
+        "passCostS": reign.pass_cost_s,
+        "unsavedKeys": len(reign.works.dirty),
+    }
+
+
+def status(node: Controller) -> dict[str, Any]:
+    """What this node knows; a leader also says what waits, and why."""
+    reign = node.reign
+    found: dict[str, Any] = {
+        "node": node.label,
+        "role": "leader" if reign is not None else "follower",
+        "leader": node.leadership.foreman,
+        "ready": node.ready,
+        "healthy": node.healthy,
+        "liveJobs": len(node.book.live),
+        "terms": node.leadership.terms,
+        "storeRequests": node.client.sent,
+        "storeFailures": node.client.failed,
+        "storeWrites": node.client.written,
+    }
+    if reign is not None and node.leadership.office is not None:
+        found["term"] = node.leadership.office.term
+        found["lease"] = "valid" if node.leadership.valid() else "uncertain"
+        found |= _leader(reign)
+    return found
+
+
+_COUNTERS = {
+    "terms": "terms this process was elected for",
+    "storeRequests": "requests to the state service",
+    "storeFailures": "requests to the state service refused or without an answer",
+    "storeWrites": "puts and deletes sent to the state service",
+    "passes": "placement passes of this term",
+}
+_GAUGES = {
+    "liveJobs": "jobs that are not final",
+    "waitingJobs": "jobs with pieces that wait",
+    "waitingPieces": "pieces that wait",
+    "attempts": "attempts that may be on machines",
+    "unprovenAttempts": "attempts whose whereabouts are open",
+    "fetchesBooked": "image fetches under way",
+    "machines": "machines known",
+    "machinesConfirmed": "machines that have spoken under this term",
+    "passCostS": "processor time of the last pass in seconds",
+    "unsavedKeys": "progress keys that wait to be written",
+}
+
+
+def _snake(name: str) -> str:
+    return "".join("_" + c.lower() if c.isupper() else c for c in name)
+
+
+def metrics(node: Controller) -> bytes:
+    """The same as numbers, in Prometheus' text format. Made only when asked for, so that
+    it costs nothing in between; its library is loaded by the first such call."""
+    from prometheus_client import CollectorRegistry, generate_latest
+    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+    from prometheus_client.registry import Collector
+
+    values = status(node)
+
+    class Once(Collector):
+        def collect(self) -> Iterable[Metric]:
+            yield GaugeMetricFamily(
+                "spoolcourse_leader", "1 on the leader", float(values["role"] == "leader")
+            )
+            for name, about in _COUNTERS.items():
+                if name in values:
+                    yield CounterMetricFamily(
+                        "spoolcourse" + _snake("_" + name), about, float(values[name])
+                    )
+            for name, about in _GAUGES.items():
+                if name in values:
+                    yield GaugeMetricFamily(
+                        "spoolcourse" + _snake("_" + name), about, float(values[name])
+                    )
+
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(Once())
+    return generate_latest(registry)
--- /dev/null
+++ b/spoolcourse/policy/keys.py
@@ -0,0 +1,150 @@
+"""The operators' policy: its keys, their ranges and defaults, and the values in force.
+
+A policy file is TOML with one table, `[policy]`; a value is a number or an expression
+(`lang`). What a file leaves out keeps its default.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, fields
+from pathlib import Path
+
+from spoolcourse.errors import UserError
+from spoolcourse.policy.lang import Expression, Inputs, Range, compile_expression
+
+INPUTS: dict[str, Range] = {
+    "waiting_jobs": Range(0, 1e6),  # jobs with pieces that are not placed
+    "machines": Range(0, 1e5),  # machines that can take work
+    "load": Range(0, 100),  # CPUs wanted by CPUs at hand
+    "pass_cost_s": Range(0, 10),  # processor time of the last pass
+    "boot_s": Range(1, 3600),  # longest usual boot time of the catalog
+    "report_s": Range(0.01, 3600),
+    "lease_s": Range(0.01, 3600),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    default: str
+    low: float
+    high: float
+    unit: str
+    about: str
+
+
+KEYS: dict[str, Key] = {
+    "node_fetches": Key("2", 1, 100, "fetches", "image fetches at once on a machine"),
+    "zone_fetches": Key("16", 0, 100_000, "fetches", "image fetches at once in a zone"),
+    "pass_gap_s": Key(
+        "min(2, max(0.1, 4 * pass_cost_s))", 0.01, 10, "s", "shortest time between two passes"
+    ),
+    "pass_period_s": Key("1", 0.1, 30, "s", "longest time between two passes"),
+    "default_estimate_s": Key("60", 1, 86_400, "s", "run time of jobs without an estimate"),
+    "idle_boots": Key("2", 0, 1000, "boots", "an idle machine is kept for so many boot times"),
+    "idle_min_s": Key("45", 0, 86_400, "s", "and at least for so long"),
+    "surplus_idle_s": Key("10", 0, 86_400, "s", "an idle surplus ordinary machine is kept"),
+    "keep_s": Key("180", 0, 3600, "s", "capacity is kept for the peak demand of so long"),
+    "headroom": Key("1.25", 0, 10, "times", "spot capacity at hand, by that peak"),
+    "ordinary_keep_s": Key("30", 0, 3600, "s", "peak that ordinary machines are kept for"),
+    "ordinary_headroom": Key("0.7", 0, 10, "times", "ordinary machines above it are surplus"),
+    "ordinary_wait_s": Key("15", 0, 86_400, "s", "wait for spot before ordinary is rented"),
+    "rescue_estimates": Key(
+        "1.5", 0, 100, "estimates", "a deadline closer than that, and a boot, is in danger"
+    ),
+    "refused_s": Key("5", 1, 3600, "s", "pause after a kind of machine was refused"),
+    "silent_leases": Key("3", 2, 100, "leases", "a machine silent for so long is deleted"),
+    "boot_patience": Key("4", 1, 100, "boots", "a machine that boots longer is deleted"),
+    "rare_s": Key("300", 0, 86_400, "s", "a type that some job depends on is spared"),
+    "preempt_patience_s": Key("5", 0, 3600, "s", "a task that ends so soon is not stopped"),
+}
+WHOLE = ("node_fetches", "zone_fetches")
+
+
+@dataclass(slots=True)
+class Policy:
+    """The values in force; brought up to date before each pass."""
+
+    node_fetches: float = 0.0
+    zone_fetches: float = 0.0
+    pass_gap_s: float = 0.0
+    pass_period_s: float = 0.0
+    default_estimate_s: float = 0.0
+    idle_boots: float = 0.0
+    idle_min_s: float = 0.0
+    surplus_idle_s: float = 0.0
+    keep_s: float = 0.0
+    headroom: float = 0.0
+    ordinary_keep_s: float = 0.0
+    ordinary_headroom: float = 0.0
+    ordinary_wait_s: float = 0.0
+    rescue_estimates: float = 0.0
+    refused_s: float = 0.0
+    silent_leases: float = 0.0
+    boot_patience: float = 0.0
+    rare_s: float = 0.0
+    preempt_patience_s: float = 0.0
+
+
+class PolicySource:
+    """Checked expressions for all keys."""
+
+    def __init__(self, expressions: dict[str, Expression]) -> None:
+        self._expressions = expressions
+        self._varying = {k: e for k, e in expressions.items() if not e.constant}
+
+    def initial(self) -> Policy:
+        policy = Policy()
+        self._put(policy, self._expressions, {name: r.low for name, r in INPUTS.items()})
+        return policy
+
+    def refresh(self, policy: Policy, inputs: Inputs) -> None:
+        """Can't raise: the checker has seen to it."""
+        self._put(policy, self._varying, inputs)
+
+    @staticmethod
+    def _put(policy: Policy, expressions: dict[str, Expression], inputs: Inputs) -> None:
+        for key, expression in expressions.items():
+            value = float(expression.evaluate(inputs))
+            setattr(policy, key, float(round(value)) if key in WHOLE else value)
+
+
+def check_policy(given: dict[str, object], source: str) -> PolicySource:
+    """Every problem of a policy at once, each with key, column and reason."""
+    problems = [f"{key}: column 1: unknown key" for key in given if key not in KEYS]
+    expressions: dict[str, Expression] = {}
+    for name, key in KEYS.items():
+        value = given.get(name, key.default)
+        if isinstance(value, bool) or not isinstance(value, str | int | float):
+            problems.append(f"{name}: column 1: a number or an expression in quotes is needed")
+            continue
+        text = value if isinstance(value, str) else repr(value)
+        found = compile_expression(text, INPUTS, Range(key.low, key.high))
+        if isinstance(found, Expression):
+            expressions[name] = found
+        else:
+            problems += [f"{name}: column {flaw.column}: {flaw.reason}" for flaw in found]
+    if problems:
+        raise UserError("\n".join(f"{source}: {problem}" for problem in problems))
+    return PolicySource(expressions)
+
+
+def load_policy(path: str | None) -> PolicySource:
+    if path is None:
+        return check_policy({}, "defaults")
+    try:
+        data = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as exc:
+        raise UserError(f"{path}: cannot be read: {exc.strerror}") from exc
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+        raise UserError(f"{path}: not TOML: {exc}") from exc
+    extra = [key for key in data if key != "policy"]
+    if extra:
+        raise UserError(f"{path}: {extra[0]}: column 1: unknown key; all keys are in [policy]")
+    table = data.get("policy", {})
+    if not isinstance(table, dict):
+        raise UserError(f"{path}: policy: column 1: must be a table")
+    return check_policy(table, path)
+
+
+assert {f.name for f in fields(Policy)} == set(KEYS)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -120,7 +120,7 @@
 
     async def up(self) -> None:
         self.start()
-        await self.until(lambda: self.leader and all(c._ready for c in self.nodes.values()), 20)
+        await self.until(lambda: self.leader and all(c.ready for c in self.nodes.values()), 20)
 
     async def ask(self, label: str, method: str, path: str, body: Any = None) -> Reply:
         try:
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,135 @@
+"""The operators' policy: what the checker lets through always has a usable value."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+
+import pytest
+
+from spoolcourse.cli import main
+from spoolcourse.errors import UserError
+from spoolcourse.policy.keys import INPUTS, KEYS, check_policy, load_policy
+from spoolcourse.policy.lang import Expression, Range, compile_expression
+from tests.test_cli import written
+
+WIDE = Range(-1e12, 1e12)
+
+
+def compiled(text: str) -> Expression:
+    found = compile_expression(text, INPUTS, WIDE)
+    assert isinstance(found, Expression), found
+    return found
+
+
+@pytest.mark.parametrize(
+    ("text", "value"),
+    [
+        ("1 + 2 * 3 - 4 / 8", 6.5),
+        ("-load + 3", 1.0),
+        ("min(load, 9, 1.5)", 1.5),
+        ("max(waiting_jobs, 7)", 10.0),
+        ("1 if load > 1 and not waiting_jobs == 3 else 2", 1.0),
+        ("1 if 0 < load < 1 or False else 2", 2.0),
+        ("machines / max(1, waiting_jobs)", 0.5),
+    ],
+)
+def test_values(text: str, value: float) -> None:
+    inputs = {name: r.low for name, r in INPUTS.items()}
+    inputs |= {"load": 2.0, "waiting_jobs": 10.0, "machines": 5.0}
+    assert compiled(text).evaluate(inputs) == value
+
+
+@pytest.mark.parametrize(
+    ("text", "column", "word"),
+    [
+        ("1 / load", 5, "zero"),
+        ("1 / (machines - 3)", 6, "zero"),
+        ("2 ** 9", 1, "arithmetic"),
+        ("pace + 1", 1, "unknown name"),
+        ("load.real", 1, "not part"),
+        ("open(load)", 1, "min and max"),
+        ("[1]", 1, "not part"),
+        ("'x'", 1, "only numbers"),
+        ("1 + (load > 2)", 6, "number is needed"),
+        ("1 if load else 2", 6, "true or false"),
+        ("1 + * 2", 5, "cannot be read"),
+        ("waiting_jobs * waiting_jobs * waiting_jobs", 1, "larger"),
+        ("1" + "+1" * 200, 1, "too many"),
+        ("", 1, "cannot be read"),
+    ],
+)
+def test_flaws(text: str, column: int, word: str) -> None:
+    found = compile_expression(text, INPUTS, WIDE)
+    assert not isinstance(found, Expression)
+    assert word in found[0].reason and found[0].column == column
+
+
+def test_a_checked_expression_never_raises_and_stays_in_its_range() -> None:
+    luck = random.Random(5)
+    names = list(INPUTS)
+
+    def grow(depth: int) -> str:
+        if depth == 0:
+            return luck.choice([*names, "0", "0.5", "3", "-2"])
+        a, b = grow(depth - 1), grow(depth - 1)
+        return luck.choice(
+            [f"({a} + {b})", f"({a} - {b})", f"({a} * {b})", f"({a} / {b})"]
+            + [f"min({a}, {b})", f"max({a}, {b})", f"({a} if {a} < {b} else {b})"]
+        )
+
+    checked = 0
+    for _ in range(600):
+        found = compile_expression(grow(luck.randint(0, 4)), INPUTS, WIDE)
+        if not isinstance(found, Expression):
+            continue
+        checked += 1
+        for _ in range(5):
+            inputs = {name: luck.choice([-1e18, 0.0, 1.0, 7.7, 1e18]) for name in names}
+            value = found.evaluate(inputs)
+            slack = 1e-6 * max(1.0, abs(found.range.low), abs(found.range.high))
+            assert found.range.low - slack <= value <= found.range.high + slack
+    assert checked > 100
+
+
+def test_all_problems_are_reported_at_once() -> None:
+    with pytest.raises(UserError) as caught:
+        check_policy({"headroom": "load", "pace": 1, "keep_s": True, "idle_boots": "1 /"}, "p.toml")
+    lines = str(caught.value).splitlines()
+    assert len(lines) == 4
+    for line, words in zip(
+        lines,
+        (("pace", "unknown key"), ("idle_boots",), ("keep_s", "number"), ("headroom", "allowed")),
+        strict=True,
+    ):
+        assert line.startswith("p.toml: ") and "column" in line
+        assert all(word in line for word in words), line
+
+
+def test_defaults_and_files(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    policy = load_policy(None).initial()
+    assert policy.pass_gap_s == 0.1 and policy.node_fetches == 2
+    good = tmp_path / "good.toml"
+    good.write_text('[policy]\nzone_fetches = "4 + machines / 10"\nheadroom = 2\n')
+    source = load_policy(str(good))
+    policy = source.initial()
+    source.refresh(policy, {name: 100.0 for name in INPUTS})
+    assert policy.zone_fetches == 14 and policy.headroom == 2
+    assert policy.pass_gap_s == 2, "rounds widen with the load, up to a bound"
+    config = written(tmp_path / "s.json")
+    for text in ("[policy]\nheadroom = 99\n", "x", "[other]\n", "policy = 3\n"):
+        bad = tmp_path / "bad.toml"
+        bad.write_text(text)
+        for command in ("check", "serve"):
+            assert main([command, "--config", config, "--policy", str(bad)]) == 1
+            error = capsys.readouterr().err
+            assert error.startswith("spoolcourse: ") and error.count("\n") == 1
+    assert main(["check", "--config", config, "--policy", str(good)]) == 0
+
+
+def test_every_key_is_documented() -> None:
+    text = Path(__file__).parent.parent.joinpath("docs/operating.md").read_text()
+    for name, key in KEYS.items():
+        assert f"| `{name}` | `{key.default}` |" in text, name
+    for name in INPUTS:
+        assert f"| `{name}` |" in text, name
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+from spoolcourse.control.net import Request
 from tests.fakes.clock import play
 from tests.fakes.world import LABELS, World, job
 
@@ -306,3 +307,28 @@
         assert (await world.poll(1, "n1")).data["stage"] == "aborted"
 
     play(story())
+
+
+def test_operators_see_what_waits_and_why() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.capacity = 1
+        await world.up()
+        await world.submit(job(1, pieces=9))
+        await world.submit(job(2, pieces=20, crew="blue", vcpus=8.0))
+        await asyncio.sleep(12)
+        leader = str(world.leader)
+        seen = await world.wire.call("op", f"{leader}:81", "GET", "/status", None, 2.0)
+        assert seen.data["role"] == "leader" and seen.data["lease"] == "valid"
+        assert [e["id"] for e in seen.data["waiting"]] == ["job-000001", "job-000002"]
+        assert {e["why"] for e in seen.data["waiting"]} == {"machines"}
+        other = next(n for n in LABELS if n != leader)
+        seen = await world.wire.call("op", f"{other}:81", "GET", "/status", None, 2.0)
+        assert (seen.data["role"], seen.data["leader"]) == ("follower", leader)
+        reply = await world.nodes[leader].peers(Request("GET", "/metrics"))
+        text = reply.data.decode()
+        assert "spoolcourse_leader 1.0" in text and "spoolcourse_waiting_jobs 2.0" in text
+        # Not on the users' address.
+        assert (await world.ask(leader, "GET", "/status")).status == 404
+
+    play(story())
