--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -17,6 +17,7 @@
 log = logging.getLogger(__name__)
 
 TIMEOUT_S = 1.0
+PAUSE_S = 10.0
 
 
 class Courier:
@@ -54,6 +55,8 @@
                 )
                 report = parse(reply.data, Report)
             except (NetError, Malformed) as exc:
+                # Until it can be reached, the report responses have to do.
+                machine.shut_until = asyncio.get_running_loop().time() + PAUSE_S
                 log.info("%s: %d orders without an answer: %s", machine.id, len(orders), exc)
                 return
             if reply.status in (200, 409) and report.spindle == machine.id:
--- /dev/null
+++ b/spoolcourse/control/fleet/relay.py
@@ -0,0 +1,59 @@
+"""What a follower does with workers' reports.
+
+A worker that comes here is either new, or could not reach the leader. Its report is
+passed on to the leader and the leader's answer handed back, so that its lease goes on
+even if the leader is cut off from the workers. Unless the leader hears nobody itself,
+the worker is sent to it with its next report.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from spoolcourse.control.net import Net, NetError, Reply
+from spoolcourse.wire.settings import Seed
+
+log = logging.getLogger(__name__)
+
+TIMEOUT_S = 1.5
+PROBE_S = 15.0  # while the leader is deaf, one worker in so long tries it again
+KNOWN_MOST = 10_000
+
+
+class Relay:
+    def __init__(self, net: Net, label: str, seeds: list[Seed], report_s: float) -> None:
+        self._net = net
+        self._label = label
+        self._peers = {seed.label: seed.endpoint for seed in seeds}
+        self._report_s = report_s
+        self._passed: dict[str, tuple[float, bool]] = {}  # worker: when, was the leader deaf
+        self._probe_at = float("-inf")
+
+    async def handle(self, worker: str, raw: bytes, foreman: str | None) -> Reply:
+        if foreman is None or foreman == self._label or foreman not in self._peers:
+            return Reply(421, {})
+        now = asyncio.get_running_loop().time()
+        at, deaf = self._passed.get(worker, (float("-inf"), True))
+        recent = now - at < 3 * self._report_s
+        if recent and (not deaf or now - self._probe_at > PROBE_S):
+            if deaf:
+                self._probe_at = now
+            self._passed.pop(worker, None)
+            return Reply(421, {"foreman": foreman})
+        if not recent and len(self._passed) >= KNOWN_MOST:
+            self._passed.clear()
+        try:
+            reply = await self._net.call(
+                self._peers[foreman], "POST", "/v1/report", raw, timeout=TIMEOUT_S
+            )
+        except NetError as exc:
+            log.debug("%s: report not passed on: %s", worker, exc)
+            return Reply(421, {"foreman": foreman})
+        if reply.status != 200 or not isinstance(reply.data, dict):
+            return Reply(421, {})
+        deaf = bool(reply.data.pop("deaf", False))
+        if deaf and not recent:
+            self._probe_at = now  # it has just tried
+        self._passed[worker] = (now, deaf)
+        return Reply(200, reply.data)
--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -48,6 +48,7 @@
     deleting: bool = False  # a deletion has been asked for
     idle_since: float | None = None
     errors: set[str] = field(default_factory=set)  # jobs that failed here
+    shut_until: float = 0.0  # its address did not answer
     refuse_until: float = 0.0  # a start was refused for lack of room
     attempts: dict[tuple[str, int], Attempt] = field(default_factory=dict)
     strays: set[tuple[str, int, int]] = field(default_factory=set)  # ours no longer, still there
@@ -337,6 +338,8 @@
         )
 
     def has_errands(self, machine: Machine) -> bool:
+        if machine.shut_until > self._clock():
+            return False
         return self.has_fresh_starts(machine) or (
             machine.confirmed
             and bool(machine.address)
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -61,6 +61,7 @@
         self._wall = wall
         self._clock = asyncio.get_running_loop().time
         self._attempts = 0
+        self._heard_direct = self._clock()
         self._wake = asyncio.Event()
         self.ready = asyncio.Event()
         self.works = Works()
@@ -243,12 +244,19 @@
 
     # -- workers ------------------------------------------------------------------------
 
-    async def report(self, report: Report) -> Reply:
+    def deaf(self) -> bool:
+        """No worker has got through to this node itself for a while."""
+        quiet = self._clock() - self._heard_direct
+        return quiet > 3 * self._params.workers.report_s + 1.0
+
+    async def report(self, report: Report, direct: bool = True) -> Reply:
         if report.baton > self._office.term:
             self._leadership.depose(f"{report.spindle} has seen term {report.baton}")
             return Reply(503, {"error": "deposed"})
         if not self.ready.is_set():
             return Reply(503, {"error": "taking over"})
+        if direct:
+            self._heard_direct = self._clock()
         orders = self.roster.accept(report)
         return Reply(200, {"baton": self._office.term, "orders": orders})
 
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -11,6 +11,7 @@
 from urllib.parse import urlsplit
 
 from spoolcourse.control import view
+from spoolcourse.control.fleet.relay import Relay
 from spoolcourse.control.intake.api import PATH, Intake, later
 from spoolcourse.control.jobs.book import Book
 from spoolcourse.control.leadership.election import Leadership, Office
@@ -64,6 +65,7 @@
             wall,
             lambda: self.leadership.foreman,
         )
+        self.relay = Relay(net, settings.label, settings.seeds, params.workers.report_s)
         self.reign: Reign | None = None
         self.mirror.listen(self._on_change)
         self._tasks: list[asyncio.Task[None]] = []
@@ -222,6 +224,8 @@
         path = urlsplit(request.path).path
         if path == "/healthz":
             return Reply(200 if self.ready else 503, {})
+        if path == "/v1/report" and request.method == "POST":
+            return await self._relayed(request.body)
         if path == "/status" and request.method == "GET":
             return Reply(200, view.status(self))
         if path == "/metrics" and request.method == "GET":
@@ -239,7 +243,17 @@
             return Reply(400, {"error": str(exc)})
         if self.reign is not None:
             return await self.reign.report(report)
-        foreman = self.leadership.foreman
-        if foreman is not None and foreman != self._settings.label:
-            return Reply(421, {"foreman": foreman})
-        return Reply(421, {})
+        return await self.relay.handle(report.spindle, raw, self.leadership.foreman)
+
+    async def _relayed(self, raw: bytes) -> Reply:
+        """A worker's report that a follower passes on."""
+        try:
+            report = parse_report(raw)
+        except Malformed as exc:
+            return Reply(400, {"error": str(exc)})
+        if self.reign is None:
+            return Reply(421, {})
+        reply = await self.reign.report(report, direct=False)
+        if reply.status == 200:
+            reply.data["deaf"] = self.reign.deaf()
+        return reply
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -332,3 +332,35 @@
         assert (await world.ask(leader, "GET", "/status")).status == 404
 
     play(story())
+
+
+def test_workers_cut_off_from_the_leader_alone_go_on_through_a_follower() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 40.0
+        await world.up()
+        await world.submit(job(1))
+        await world.until(lambda: len(world.cloud.starts) == 4)
+        leader = str(world.leader)
+        cut = world.now()
+
+        def apart(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            ends = {src, dst.split(":")[0]}
+            worker = any(end.startswith("m-") for end in ends)
+            return "cut" if worker and leader in ends else None
+
+        world.wire.filters.append(apart)
+        await asyncio.sleep(20)
+        await world.submit(job(2, pieces=2))
+        await world.until(lambda: len(world.cloud.starts) == 6, 20)
+        await world.finish(1)
+        assert len(world.cloud.starts) == 6, "no lease ran out"
+        assert world.leader == leader
+        world.wire.filters.clear()
+        await world.finish(2)
+        await asyncio.sleep(40)
+        reign = world.nodes[leader].reign
+        assert reign is not None and not reign.deaf(), "they are back"
+        assert world.now() > cut and world.cloud.broken == []
+
+    play(story())
