--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -57,7 +57,7 @@
             except (NetError, Malformed) as exc:
                 # Until it can be reached, the report responses have to do.
                 machine.shut_until = asyncio.get_running_loop().time() + PAUSE_S
-                log.info("%s: %d orders without an answer: %s", machine.id, len(orders), exc)
+                log.debug("%s: %d orders without an answer: %s", machine.id, len(orders), exc)
                 return
             if reply.status in (200, 409) and report.spindle == machine.id:
                 for attempt in attempts:
