--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -145,8 +145,6 @@
                 continue
             if fit(node.cpus, node.gpus, node.memory, job) < 1:
                 continue
-            if node.rare and job.choice and not job.claim:
-                continue  # kept for those that depend on it
             if not self._may_fetch(job, node):
                 fetch_blocked = True
                 continue
