--- a/spoolcourse/policy/keys.py
+++ b/spoolcourse/policy/keys.py
@@ -45,7 +45,7 @@
     "idle_min_s": Key("30", 0, 86_400, "s", "and at least for so long"),
     "surplus_idle_s": Key("10", 0, 86_400, "s", "an idle surplus ordinary machine is kept"),
     "keep_s": Key("100", 0, 3600, "s", "capacity is kept for the peak demand of so long"),
-    "headroom": Key("1.25", 0, 10, "times", "spot capacity at hand, by that peak"),
+    "headroom": Key("1.6", 0, 10, "times", "spot capacity at hand, by that peak"),
     "ordinary_keep_s": Key("30", 0, 3600, "s", "peak that ordinary machines are kept for"),
     "ordinary_headroom": Key("0.7", 0, 10, "times", "ordinary machines above it are surplus"),
     "ordinary_wait_s": Key("15", 0, 86_400, "s", "wait for spot before ordinary is rented"),
