--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -238,6 +238,7 @@
                 machine.errors.discard(work.id)
             return
         cause = item.cause or ""
+        log.debug("%s: ended, %s, on %s", item.piece, cause, machine.id)
         if attempt.loose is not None or (attempt.direct and cause != "done"):
             # A copy of the start may still be on its way to `/orders`. While the worker
             # remembers the attempt, the copy has no effect; after a reap it would start.
--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -41,7 +41,7 @@
         mirror: Mirror,
         label: str,
         run_id: str,
-        ttl_s: float = 1.5,
+        ttl_s: float = 2.5,
     ) -> None:
         self._client = client
         self._mirror = mirror
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -181,7 +181,13 @@
                 machine.rented_at = asked
                 if machine.heard_at is None:
                     machine.up_at = asked + self._boot_s(machine)
-            log.info("hired %d of %d %s in %s, spot %s", len(names), count, *_words(kind))
+            log.info(
+                "hired %d of %d %s in %s, spot %s: %s",
+                len(names),
+                count,
+                *_words(kind),
+                " ".join(names),
+            )
             if len(names) < count:
                 self._refused(kind)
             else:
