--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -145,8 +145,6 @@
                 continue
             if fit(node.cpus, node.gpus, node.memory, job) < 1:
                 continue
-            if node.surplus and job.loaners and not job.claim and self.s.now < job.ordinary_at:
-                continue  # it can wait for a spot machine, and this one is to run empty
             if not self._may_fetch(job, node):
                 fetch_blocked = True
                 continue
