--- a/spoolcourse/control/intake/api.py
+++ b/spoolcourse/control/intake/api.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote, urlsplit
@@ -37,8 +38,10 @@
     """This node can't answer for sure just now."""
 
 
-def later(why: str, after: int = 1) -> Reply:
-    return Reply(503, {"error": why}, {"Retry-After": str(after)})
+def later(why: str, after: float = 1.0) -> Reply:
+    """Can't say now. The user is told when to come back (30 s is the longest that counts)."""
+    seconds = max(1, min(30, math.ceil(after)))
+    return Reply(503, {"error": why}, {"Retry-After": str(seconds)})
 
 
 class Intake:
@@ -68,6 +71,13 @@
         """`hop`: the request comes from a peer and goes no further."""
         path = unquote(urlsplit(request.path).path)
         parts = path.split("/")[2:]
+        after = 1.0
+        if not hop and self._client.suspect():
+            # Waiting for the state service once more would only cost the user time.
+            hop = True
+            reply = await self._pass_on(request, after)
+            if reply.status != 503:
+                return reply
         try:
             async with asyncio.timeout(3.0):
                 if not parts and request.method == "POST":
@@ -78,10 +88,11 @@
                     return await self._withdraw(parts[0])
         except (Unable, Refused, Unclear, TimeoutError) as exc:
             log.debug("%s %s: %s", request.method, path, exc)
-            return later("try again") if hop else await self._pass_on(request)
+            after = exc.after if isinstance(exc, Refused) else after
+            return later("try again", after) if hop else await self._pass_on(request, after)
         return Reply(404, {"error": "no such resource"})
 
-    async def _pass_on(self, request: Request) -> Reply:
+    async def _pass_on(self, request: Request, after: float) -> Reply:
         """Perhaps only this node lost the state service: a peer may still be served."""
         foreman = self._foreman()
         for seed in sorted(self._seeds, key=lambda s: s.label != foreman):
@@ -95,7 +106,7 @@
                 if reply.status == 200 and isinstance(reply.data, dict):
                     self._note(reply.data)
                 return Reply(reply.status, reply.data)
-        return later("try again")
+        return later("try again", after)
 
     def _note(self, answer: dict[str, Any]) -> None:
         if answer.get("stage") in ("done", "aborted") and isinstance(answer.get("id"), str):
--- a/spoolcourse/control/jobs/writer.py
+++ b/spoolcourse/control/jobs/writer.py
@@ -73,7 +73,7 @@
                 continue
             value = chunk.progress.value()
             size += len(orjson.dumps(value)) + 300
-            if ops and (size > TXN_BYTES or len(ops) >= self._client.limits.txn_ops):
+            if ops and (size > TXN_BYTES or len(ops) >= self._client.ops_most):
                 break
             put = Put(progress_key(job, index), value)
             conditions[put.key] = chunk.stamp
@@ -103,7 +103,7 @@
             stage = "aborted" if work.record.aborted else "done"
             value = {"stage": stage, "done": work.done, "at": work.record.at}
             saved = [c for c in work.chunks.values() if c.stamp]
-            room = self._client.limits.txn_ops - 2
+            room = self._client.ops_most - 2
             # A job of very many chunks loses the first of them beforehand; with its
             # record still there the rest would be taken for undone after a crash. So the
             # final state goes first, and what is left is swept up later.
@@ -129,7 +129,7 @@
 
     async def sweep(self, keys: list[str]) -> None:
         """Delete progress of jobs that are over."""
-        step = self._client.limits.txn_ops
+        step = self._client.ops_most
         for start in range(0, len(keys), step):
             part = keys[start : start + step]
             outcome = await self._commit({TERM: self._office.stamp}, [Delete(k) for k in part])
--- a/spoolcourse/control/machines/cloud.py
+++ b/spoolcourse/control/machines/cloud.py
@@ -5,7 +5,7 @@
 import logging
 
 from spoolcourse.control.net import Net, NetError, Reply
-from spoolcourse.control.store.budget import Bucket
+from spoolcourse.control.store.budget import Bucket, Busy
 from spoolcourse.wire.messages import Catalog, Hired, Host, HostPage, Malformed, parse
 
 log = logging.getLogger(__name__)
@@ -29,10 +29,13 @@
         self._addr = addr
         self._timeout = timeout
         # Only the leader works with the cloud; other nodes read the catalog now and then.
-        self._bucket = Bucket(rps * 0.8, rps)
+        self._bucket = Bucket(rps * 0.8, rps, longest_s=10.0)
 
     async def _call(self, method: str, path: str, body: object = None) -> Reply:
-        await self._bucket.take()
+        try:
+            await self._bucket.take()
+        except Busy as exc:
+            raise CloudError(str(exc)) from exc
         try:
             reply = await self._net.call(self._addr, method, path, body, timeout=self._timeout)
         except NetError as exc:
--- a/spoolcourse/control/store/client.py
+++ b/spoolcourse/control/store/client.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
 from spoolcourse.control.net import Net, NetError, Reply
-from spoolcourse.control.store.budget import Bucket
+from spoolcourse.control.store.budget import Bucket, Busy
 from spoolcourse.wire.settings import State
 
 PAGE = 1000
+SUSPECT_S = 0.5
 
 
 class Refused(Exception):
-    """The request was not carried out (429, 503, or no such lease)."""
+    """The request was not carried out (429, 503, no such lease, or our own budget)."""
+
+    after = 1.0  # seconds until it is worth another try
 
 
 class Unclear(Exception):
@@ -97,6 +101,7 @@
         self._requests = Bucket(limits.rps / (nodes + 0.5), limits.rps / (nodes + 0.5))
         self._nodes = nodes
         self.sent = self.failed = self.written = 0
+        self._failing_since: float | None = None
         self._writes = Bucket(1.0, 1.0)
         self.set_leader(False)
 
@@ -109,13 +114,37 @@
     async def _call(
         self, method: str, path: str, body: Any = None, *, urgent: bool = False, wait: float = 0.0
     ) -> Reply:
-        await self._requests.take(urgent=urgent)
+        await self._pay(self._requests, 1, urgent)
         self.sent += 1
+        began = asyncio.get_running_loop().time()
         try:
-            return await self._send(method, path, body, wait)
+            reply = await self._send(method, path, body, wait)
         except (Refused, Unclear):
             self.failed += 1
+            if self._failing_since is None:
+                self._failing_since = began
             raise
+        self._failing_since = None
+        return reply
+
+    @property
+    def ops_most(self) -> int:
+        """Puts and deletes in one transaction: no more than can be had at once."""
+        return max(3, min(self.limits.txn_ops, int(self._writes.burst)))
+
+    @staticmethod
+    async def _pay(bucket: Bucket, amount: int, urgent: bool) -> None:
+        try:
+            await bucket.take(amount, urgent=urgent)
+        except Busy as exc:
+            refused = Refused(str(exc))
+            refused.after = exc.after
+            raise refused from exc
+
+    def suspect(self) -> bool:
+        """Nothing has succeeded for a while: others may be served better."""
+        since = self._failing_since
+        return since is not None and asyncio.get_running_loop().time() - since > SUSPECT_S
 
     async def _send(self, method: str, path: str, body: Any, wait: float) -> Reply:
         try:
@@ -169,7 +198,7 @@
     ) -> Outcome:
         body: dict[str, Any] = {"if": [{"k": k, "stamp": s} for k, s in conditions.items()]}
         if ops:
-            await self._writes.take(len(ops), urgent=urgent)
+            await self._pay(self._writes, len(ops), urgent)
             self.written += len(ops)
             body["apply"] = [op.wire() for op in ops]
         reply = await self._call("POST", "/multi", body, urgent=urgent)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -364,3 +364,36 @@
         assert world.now() > cut and world.cloud.broken == []
 
     play(story())
+
+
+def test_a_node_whose_state_service_hangs_asks_a_peer_before_waiting_again() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        node = next(n for n in LABELS if n != world.leader)
+        world.wire.filters.append(
+            lambda src, dst, *rest: "cut" if (src, dst) == (node, "state:1") else None
+        )
+        await asyncio.sleep(14)
+        began = world.now()
+        assert (await world.submit(job(), node)).status == 201
+        assert world.now() - began < 0.2
+
+    play(story())
+
+
+def test_a_burst_beyond_the_budget_is_told_when_to_come_back_and_leaves_no_debt() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        replies = await asyncio.gather(*(world.submit(job(n), "n1") for n in range(1, 600)))
+        taken = [r for r in replies if r.status == 201]
+        refused = [r for r in replies if r.status == 503]
+        assert len(taken) > 20 and len(refused) > 20 and len(taken) + len(refused) == 599
+        assert all(1 <= int(r.headers["Retry-After"]) <= 30 for r in refused)
+        await asyncio.sleep(3)
+        began = world.now()
+        assert (await world.submit(job(700), "n1")).status == 201
+        assert world.now() - began < 0.5
+
+    play(story())
