--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -108,7 +108,7 @@
 
 def test_defaults_and_files(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
     policy = load_policy(None).initial()
-    assert policy.pass_gap_s == 0.1 and policy.node_fetches == 1
+    assert policy.pass_gap_s == 0.1 and policy.node_fetches == 2
     good = tmp_path / "good.toml"
     good.write_text('[policy]\nzone_fetches = "4 + machines / 10"\nheadroom = 2\n')
     source = load_policy(str(good))
