--- a/spoolcourse/cli.py
+++ b/spoolcourse/cli.py
@@ -18,6 +18,13 @@
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
+def _seconds(text: str) -> float:
+    value = float(text)
+    if not 0 < value <= 3600:
+        raise argparse.ArgumentTypeError("must be above 0, and 3600 at most")
+    return value
+
+
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="spoolcourse",
@@ -48,7 +55,7 @@
             "--node", required=True, metavar="HOST:PORT", help=f"a controller, {where}"
         )
         command.add_argument(
-            "--timeout", type=float, default=5.0, metavar="S", help="wait so long for the answer"
+            "--timeout", type=_seconds, default=5.0, metavar="S", help="wait so long for the answer"
         )
     return parser
 
--- a/spoolcourse/control/net.py
+++ b/spoolcourse/control/net.py
@@ -47,6 +47,14 @@
 Handler = Callable[[Request], Awaitable[Reply]]
 
 
+def _reason(exc: Exception, timeout: float) -> str:
+    if isinstance(exc, aiohttp.ClientConnectorError):
+        return f"cannot connect: {exc.os_error.strerror}"
+    if isinstance(exc, TimeoutError):
+        return f"no answer within {timeout:g} s"
+    return f"{type(exc).__name__}: {exc}"
+
+
 class HttpNet:
     """The network as it is: one pooled client session."""
 
@@ -83,7 +91,7 @@
                         data = None
                     return Reply(resp.status, data, dict(resp.headers))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
-            raise NetError(f"{method} {addr}{path}: {type(exc).__name__}: {exc}") from exc
+            raise NetError(f"{method} {addr}{path}: {_reason(exc, timeout)}") from exc
 
     async def close(self) -> None:
         if self._session is not None:
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -87,7 +87,7 @@
 def split_address(text: str, field: str) -> tuple[str, int]:
     host, colon, port = text.rpartition(":")
     if not colon or not host or not port.isdigit() or not 0 <= int(port) <= 65535:
-        raise UserError(f"settings: {field}: {text!r} is not HOST:PORT")
+        raise UserError(f"{field}: {text!r} is not HOST:PORT")
     return host, int(port)
 
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -78,3 +78,13 @@
         main(["--version"])
     assert end.value.code == 0
     assert __version__ in capsys.readouterr().out
+
+
+def test_a_wrong_command_line_is_refused_with_a_reason(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    for argv in ([], ["status", "--node", "a:1", "--timeout", "-1", "job-000001"], ["fly"]):
+        with pytest.raises(SystemExit) as end:
+            main(argv)
+        assert end.value.code == 2
+        assert "error: " in capsys.readouterr().err
