--- a/spoolcourse/policy/keys.py
+++ b/spoolcourse/policy/keys.py
@@ -43,7 +43,7 @@
     "default_estimate_s": Key("60", 1, 86_400, "s", "run time of jobs without an estimate"),
     "idle_boots": Key("1", 0, 1000, "boots", "an idle machine is kept for so many boot times"),
     "idle_min_s": Key("30", 0, 86_400, "s", "and at least for so long"),
-    "surplus_idle_s": Key("4", 0, 86_400, "s", "an idle surplus ordinary machine is kept"),
+    "surplus_idle_s": Key("10", 0, 86_400, "s", "an idle surplus ordinary machine is kept"),
     "keep_s": Key("100", 0, 3600, "s", "capacity is kept for the peak demand of so long"),
     "headroom": Key("1.6", 0, 10, "times", "spot capacity at hand, by that peak"),
     "ordinary_keep_s": Key("30", 0, 3600, "s", "peak that ordinary machines are kept for"),
