--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -154,7 +154,7 @@
             delay = round(self._fetch_s(job, node), 1)
             # Where the image has to be fetched, the emptiest comes first: see below.
             free = node.cpus if delay == 0.0 else -node.cpus
-            group = 8 * (node.rare and job.choice) + 2 * node.surplus
+            group = node.rare + 2 * node.surplus
             if job.claim and delay > 0.0:
                 group += 4  # people wait: an image at hand counts most
             choices.append((group, delay, free, number))
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -67,7 +67,6 @@
     lost: int = 0  # pieces whose machine's zone is not known
     avoid: frozenset[int] = frozenset()  # nodes where it failed
     rank: int = 2
-    choice: bool = False  # it fits types that are not rare as well
     claim: bool = False  # tasks may be stopped for it
     guaranteed: bool = False  # it fits into its team's guarantee
     ordinary_at: float = 0.0  # from then on ordinary machines may be rented for it
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -62,23 +62,19 @@
     def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
         """Machine types that some job of late depends on, while others have a choice."""
         for work in self._works.jobs.values():
-            fits = self._fits(work, builds)
+            sub = work.record.sub
+            fits = [
+                b.name
+                for b in builds.values()
+                if (sub.builds is None or b.name in sub.builds)
+                and sub.vcpus <= b.vcpus
+                and sub.gpus <= b.gpus
+                and sub.memoryGb <= b.memoryGb
+            ]
             if len(fits) < len(builds):
                 for name in fits:
                     self._rare_until[name] = now + self._policy.rare_s
 
-    @staticmethod
-    def _fits(work: Work, builds: dict[str, Build]) -> list[str]:
-        sub = work.record.sub
-        return [
-            b.name
-            for b in builds.values()
-            if (sub.builds is None or b.name in sub.builds)
-            and sub.vcpus <= b.vcpus
-            and sub.gpus <= b.gpus
-            and sub.memoryGb <= b.memoryGb
-        ]
-
     def is_rare(self, build: str, now: float) -> bool:
         return self._rare_until.get(build, 0.0) > now
 
@@ -150,8 +146,6 @@
             nodes.append(node)
             self.machines.append(machine)
         jobs = [self._job(w, now, number_of) for w in self.works]
-        for job, work in zip(jobs, self.works, strict=True):
-            job.choice = any(not self.is_rare(b, now) for b in self._fits(work, builds))
         for work in self._strays():
             team = room[self.teams.of(work.record.sub.crew)]
             team.cpus -= work.record.sub.vcpus
