--- a/spoolcourse/control/jobs/book.py
+++ b/spoolcourse/control/jobs/book.py
@@ -113,17 +113,7 @@
         record = JobRecord(sub, at, chunk_pieces(self._client.limits.value_kb), None, 0)
         key = job_key(sub.id)
         value = record.value()
-        try:
-            outcome = await self._client.txn({key: 0, final_key(sub.id): 0}, [Put(key, value)])
-        except Unclear:
-            entry = await self._client.get(key)
-            if entry is None or entry.value != value:
-                raise
-            self._mirror.apply(key, entry.value, entry.stamp)
-            return True
-        if outcome.ok:
-            self._mirror.apply(key, value, outcome.ledger)
-        return outcome.ok
+        return await self._write(key, value, {key: 0, final_key(sub.id): 0})
 
     async def withdraw(self, job: str, at: float) -> bool:
         """Mark a live job aborted; False if it changed meanwhile (look again).
@@ -135,12 +125,15 @@
             return True
         aborted = JobRecord(record.sub, record.at, record.chunk, at, 0)
         key = job_key(job)
-        value = aborted.value()
+        return await self._write(key, aborted.value(), {key: record.stamp})
+
+    async def _write(self, key: str, value: dict[str, Any], conditions: dict[str, int]) -> bool:
+        """Write a record; where the answer is unclear, read back whether it is there."""
         try:
-            outcome = await self._client.txn({key: record.stamp}, [Put(key, value)])
+            outcome = await self._client.txn(conditions, [Put(key, value)])
         except Unclear:
             entry = await self._client.get(key)
-            if entry is None or entry.value.get("aborted") is None:
+            if entry is None or entry.value != value:
                 raise
             self._mirror.apply(key, entry.value, entry.stamp)
             return True
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -9,6 +9,7 @@
 
 from spoolcourse.control.net import NetError, Reply, Request
 from spoolcourse.control.service import Controller
+from spoolcourse.policy.keys import check_policy
 from spoolcourse.wire.settings import Settings, parse_settings
 from tests.fakes.cloud import FakeCloud
 from tests.fakes.net import FakeWire
@@ -66,7 +67,8 @@
 
 
 class World:
-    def __init__(self) -> None:
+    def __init__(self, policy: dict[str, object] | None = None) -> None:
+        self.policy = check_policy(policy or {}, "test")
         self.wire = FakeWire()
         self.state = FakeState()
         self.cloud = FakeCloud(self.wire, [(n, f"{n}:80") for n in LABELS])
@@ -84,6 +86,7 @@
             node = Controller(
                 settings(label),
                 self.wire.end_of(label),
+                self.policy,
                 wall=self.now,
                 run_id=f"run{self.runs}",
             )
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -397,3 +397,63 @@
         assert world.now() - began < 0.5
 
     play(story())
+
+
+def test_wider_rounds_keep_the_order_and_the_rules() -> None:
+    async def story(gap: str) -> list[str]:
+        world = World({"pass_gap_s": gap})
+        world.cloud.capacity = 1
+        await world.up()
+        world.cloud.add()
+        await asyncio.sleep(5)
+        for number in range(1, 6):
+            await world.submit(job(number, pieces=2, vcpus=4.0), LABELS[number % 3])
+            await asyncio.sleep(0.05)
+        for number in range(1, 6):
+            await world.finish(number, 300)
+        assert world.cloud.broken == []
+        names = [name for _, name, _ in world.cloud.starts]
+        assert len(names) == 10
+        return list(dict.fromkeys(name.split("/")[0] for name in names))
+
+    narrow, wide = play(story("0.1")), play(story("5"))
+    assert narrow == wide == sorted(narrow)
+
+
+def test_machines_found_at_the_first_start_stay_and_rented_ones_go() -> None:
+    async def story() -> None:
+        world = World()
+        found = world.cloud.add()
+        await world.up()
+        await world.submit(job(pieces=12))
+        await world.until(lambda: len(world.cloud.hosts) > 1, 30)
+        await world.finish()
+        await world.until(lambda: list(world.cloud.hosts) == [found], 900)
+        for label in LABELS:
+            world.kill(label)
+        await world.up()
+        late = world.cloud.add()  # nobody here has asked for it
+        await world.until(lambda: list(world.cloud.hosts) == [found], 900)
+        assert late not in world.cloud.hosts
+
+    play(story())
+
+
+def test_a_loop_that_fails_is_begun_again_and_a_new_term_with_it() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        first = str(world.leader)
+        reign = world.nodes[first].reign
+        assert reign is not None
+
+        def broken(snapshot: Any, builds: Any) -> None:
+            raise KeyError("unforeseen")
+
+        reign._surveyor.take = broken  # type: ignore[method-assign,assignment]
+        await world.submit(job())
+        await world.finish()
+        assert world.nodes[first].reign is not reign
+        assert world.cloud.broken == []
+
+    play(story())
