--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -38,12 +38,10 @@
     heard_at: float | None = None  # a report of any kind
     answered_at: float | None = None  # a 200 of ours, which may have renewed its lease
     silent_proof: bool = False  # its lease has run out since our last answer
-    listed_at: float | None = None
     listed: str | None = None  # its stage in the cloud's list
     rented_at: float | None = None
     up_at: float | None = None  # when it is expected, while it boots
     recall_at: float | None = None
-    leaving: bool = False  # to be returned: gets no new work
     surplus: bool = False  # gets work only if nothing else has room, and goes when idle
     deleting: bool = False  # a deletion has been asked for
     idle_since: float | None = None
@@ -60,7 +58,6 @@
     def placeable(self) -> bool:
         return (
             self.confirmed
-            and not self.leaving
             and not self.deleting
             and not self.silent_proof
             and self.recall_at is None
@@ -228,7 +225,6 @@
 
     def _progress(self, machine: Machine, attempt: Attempt, item: Piece, now: float) -> None:
         work, sub = attempt.work, attempt.work.record.sub
-        attempt.seen = True
         if item.stage != "ended":
             if item.stage != attempt.stage:
                 log.debug("%s: %s on %s", item.piece, item.stage, machine.id)
@@ -278,7 +274,7 @@
             if piece not in work.attempts and not work.is_done(piece) and not work.record.aborted:
                 # It runs and nobody else does: keep it.
                 attempt = self.works.adopt(work, piece, machine.id, item.attempt, now)
-                attempt.stage, attempt.seen = item.stage, True
+                attempt.stage = item.stage
                 machine.attempts[job, piece] = attempt
                 return True
         if item.stage != "ended":
--- a/spoolcourse/control/jobs/book.py
+++ b/spoolcourse/control/jobs/book.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import Any, Literal
+from typing import Any
 
 from spoolcourse.control.jobs.records import JobRecord, Progress, chunk_pieces
 from spoolcourse.control.store.client import Put, StoreClient, Unclear
@@ -18,7 +18,6 @@
 from spoolcourse.control.store.mirror import Mirror
 from spoolcourse.wire.messages import Submission
 
-FinalStage = Literal["done", "aborted"]
 FINALS_KEPT = 20_000
 
 
--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -26,7 +26,6 @@
     sent: tuple[int, int] | None = None  # the report whose response carried the start
     direct: bool = False  # the start was also sent to `/orders`
     loose: int | None = None  # the session in which that may still arrive
-    seen: bool = False
     halting: bool = False
     halt_sent: bool = False  # to `/orders`
 
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -95,7 +95,7 @@
             if host.id in self._roster.buried:
                 continue
             machine = self._roster.machine(host.id)
-            machine.listed, machine.listed_at = host.stage, now
+            machine.listed = host.stage
             machine.build = machine.build or host.build
             machine.yard = machine.yard or host.yard
             if machine.loaner is None:
@@ -321,7 +321,7 @@
             limit = policy.surplus_idle_s
         else:
             limit = max(policy.idle_min_s, policy.idle_boots * boot)
-        return machine.leaving or now - machine.idle_since > limit
+        return now - machine.idle_since > limit
 
     def _cancel_due(self, machine: Machine, silent: float) -> bool:
         """A withdrawn job's tasks must be gone within `cancel_s`: a silent machine can't
