--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import logging
+
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
@@ -9,6 +11,8 @@
 from spoolcourse.wire.messages import Build
 from spoolcourse.wire.settings import Params
 
+log = logging.getLogger(__name__)
+
 # The first exception to the arrival order (docs/design.md): rank goes before arrival.
 RANKS = ("prod", "high", "standard", "best_effort")
 
@@ -145,7 +149,7 @@
             number_of[machine.id] = len(nodes)
             nodes.append(node)
             self.machines.append(machine)
-        jobs = [self._job(w, now, number_of) for w in self.works]
+        jobs = [self._safe_job(w, now, number_of) for w in self.works]
         for work in self._strays():
             team = room[self.teams.of(work.record.sub.crew)]
             team.cpus -= work.record.sub.vcpus
@@ -245,6 +249,15 @@
                 node.memory -= sub.memoryGb
         return node
 
+    def _safe_job(self, work: Work, now: float, number_of: dict[str, int]) -> Job:
+        """One job that can't be judged must not keep all the others from running: a rule
+        that failed for jobs without a deadline once stopped every pass of every leader."""
+        try:
+            return self._job(work, now, number_of)
+        except Exception:
+            log.exception("%s is left out of this pass", work.id)
+            return Job(0, 0.0, 0.0, 0.0, 0, 0.0, self.teams.of(work.record.sub.crew), 0.0)
+
     def _job(self, work: Work, now: float, number_of: dict[str, int]) -> Job:
         sub = work.record.sub
         job = Job(
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -457,3 +457,26 @@
         assert world.cloud.broken == []
 
     play(story())
+
+
+def test_a_job_that_cannot_be_judged_does_not_stop_the_others() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        reign = world.nodes[str(world.leader)].reign
+        assert reign is not None
+        judge = reign._surveyor._job
+
+        def partly(work: Any, now: float, number_of: dict[str, int]) -> Any:
+            if work.id == "job-000001":
+                raise TypeError("unforeseen")
+            return judge(work, now, number_of)
+
+        reign._surveyor._job = partly  # type: ignore[method-assign]
+        await world.submit(job(1))
+        await world.submit(job(2))
+        await world.finish(2)
+        assert world.nodes[str(world.leader)].reign is reign
+        assert (await world.poll(1)).data["stage"] == "queued"
+
+    play(story())
