--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -164,14 +164,6 @@
             zone_fetches=int(self._policy.zone_fetches),
         )
 
-    def _too_late(self, work: Work, now: float) -> bool:
-        due = work.record.sub.dueS
-        if due is None:
-            return False
-        age = now - work.waiting_since
-        # Not for ever: in the end arrival counts again.
-        return due - 0.7 * self.estimate(work) < age < self._policy.late_yield * due
-
     def _ordinary_at(self, work: Work) -> float:
         """Ordinary machines cost a multiple of spot ones. They are for deadlines that
         would be missed otherwise, and for work without one; the rest waits for spot
--- a/spoolcourse/policy/keys.py
+++ b/spoolcourse/policy/keys.py
@@ -52,7 +52,6 @@
     "rescue_estimates": Key(
         "1.5", 0, 100, "estimates", "a deadline closer than that, and a boot, is in danger"
     ),
-    "late_yield": Key("3", 0, 1000, "deadlines", "late jobs let others pass until then"),
     "refused_s": Key("5", 1, 3600, "s", "pause after a kind of machine was refused"),
     "silent_leases": Key("3", 2, 100, "leases", "a machine silent for so long is deleted"),
     "boot_patience": Key("4", 1, 100, "boots", "a machine that boots longer is deleted"),
@@ -80,7 +79,6 @@
     ordinary_headroom: float = 0.0
     ordinary_wait_s: float = 0.0
     rescue_estimates: float = 0.0
-    late_yield: float = 0.0
     refused_s: float = 0.0
     silent_leases: float = 0.0
     boot_patience: float = 0.0
