One piece of code where the same was written twice

One check whether a task fits a type; what a job may use, and resources, as methods of the placement model (placing, stopping and renting each had a copy); orders spelled in one place; one way in for reports and for users' requests; one measure of a worker's silence; the keeper takes the settings whole; the limit of names per deletion is kept where the names are chosen. Behaviour is the same but for one case: the copy in the stopping of tasks overlooked pieces whose zone isn't known, and stopped tasks for a one-zone job that could not start then. It now asks what placing asks; tested.

--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -10,9 +10,9 @@
 import asyncio
 import logging
 
-from spoolcourse.control.fleet.roster import Machine, Roster
+from spoolcourse.control.fleet.roster import Machine, Roster, start_order
 from spoolcourse.control.net import Net, NetError
-from spoolcourse.wire.messages import Malformed, Report, parse, piece_name
+from spoolcourse.wire.messages import Malformed, Report, parse
 
 log = logging.getLogger(__name__)
 
@@ -44,10 +44,7 @@
         try:
             attempts = self._roster.take_fresh_starts(machine)
             shift = machine.shift
-            orders = self._roster.take_halts(machine) + [
-                {"verb": "start", "piece": piece_name(a.work.id, a.piece), "try": a.number}
-                for a in attempts
-            ]
+            orders = self._roster.take_halts(machine) + [start_order(a) for a in attempts]
             body = {"baton": self._roster.term, "shift": shift, "orders": orders}
             try:
                 reply = await self._net.call(
--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -1,8 +1,9 @@
 """The leader's workers: what their reports prove, and what they are told.
 
-Starts travel in report responses only. A worker has one report in flight, executes a
-response within its time-out or never, and drops it in a later session; so the next
-newer report under our baton tells for certain whether a start arrived.
+A worker has one report in flight, executes a response within its time-out or never, and
+drops it in a later session; so the next newer report under our baton tells for certain
+whether a start in a response arrived. Starts sent to `/orders` (`courier`) may come late:
+they stay possible until the session or our term ends.
 """
 
 from __future__ import annotations
@@ -15,7 +16,7 @@
 
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.leadership.election import DRIFT
-from spoolcourse.wire.messages import Piece, Report, piece_name, split_piece
+from spoolcourse.wire.messages import Piece, Report, split_piece
 
 log = logging.getLogger(__name__)
 
@@ -281,17 +282,14 @@
             machine.strays.add((job, piece, item.attempt))
         return False
 
-    @staticmethod
-    def _gone(images: OrderedDict[str, float], room: float) -> None:
-        while len(images) > 1 and sum(images.values()) > room:
-            images.popitem(last=False)
-
     def _cached(self, machine: Machine, image: str, size: float) -> None:
         if next(reversed(machine.images), None) == image:
             return
         machine.images[image] = size
         machine.images.move_to_end(image)
-        self._gone(machine.images, self.disk_gb(machine.build or ""))
+        room = self.disk_gb(machine.build or "")
+        while len(machine.images) > 1 and sum(machine.images.values()) > room:
+            machine.images.popitem(last=False)
 
     # -- orders -------------------------------------------------------------------
 
@@ -307,14 +305,7 @@
                 continue
             grace = self._halt(machine, job, piece, item)
             if grace is not None:
-                orders.append(
-                    {
-                        "verb": "halt",
-                        "piece": item.piece,
-                        "try": item.attempt,
-                        "windDownS": grace,
-                    }
-                )
+                orders.append(_halt_order(item.piece, item.attempt, grace))
         if self._may_start() and machine.placeable:
             stamp = (report.shift, report.tick)
             for attempt in machine.attempts.values():
@@ -322,8 +313,7 @@
                     break
                 if attempt.stage == "assigned" and self._startable(attempt):
                     attempt.sent = stamp
-                    name = piece_name(attempt.work.id, attempt.piece)
-                    orders.append({"verb": "start", "piece": name, "try": attempt.number})
+                    orders.append(start_order(attempt))
         return orders[:ORDERS_MAX]
 
     def has_fresh_starts(self, machine: Machine) -> bool:
@@ -349,7 +339,8 @@
         for attempt in machine.attempts.values():
             if _to_halt(attempt):
                 attempt.halt_sent = True
-                orders.append(_halt_order(attempt.work, attempt.piece, attempt.number))
+                grace = _grace(attempt.work)
+                orders.append(_halt_order(attempt.name, attempt.number, grace))
         return orders
 
     def take_fresh_starts(self, machine: Machine) -> list[Attempt]:
@@ -399,6 +390,9 @@
     return attempt.halting and not attempt.halt_sent and attempt.stage in ("pulling", "running")
 
 
-def _halt_order(work: Work, piece: int, number: int) -> dict[str, Any]:
-    name = piece_name(work.id, piece)
-    return {"verb": "halt", "piece": name, "try": number, "windDownS": _grace(work)}
+def _halt_order(name: str, number: int, grace: float) -> dict[str, Any]:
+    return {"verb": "halt", "piece": name, "try": number, "windDownS": grace}
+
+
+def start_order(attempt: Attempt) -> dict[str, Any]:
+    return {"verb": "start", "piece": attempt.name, "try": attempt.number}
--- a/spoolcourse/control/intake/api.py
+++ b/spoolcourse/control/intake/api.py
@@ -14,6 +14,8 @@
 from typing import Any
 from urllib.parse import unquote, urlsplit
 
+import msgspec
+
 from spoolcourse.control.intake.checks import refusal, usable_builds
 from spoolcourse.control.jobs.book import Book
 from spoolcourse.control.net import Net, NetError, Reply, Request
@@ -151,8 +153,8 @@
         """Only known types are kept, so that a record stays small."""
         if sub.builds is None:
             return sub
-        fields = {f: getattr(sub, f) for f in sub.__struct_fields__}
-        return Submission(**fields | {"builds": usable_builds(sub, builds, self._params.zones)})
+        usable = usable_builds(sub, builds, self._params.zones)
+        return msgspec.structs.replace(sub, builds=usable)
 
     async def _refuse(self, job: str | None, reply: Reply) -> Reply:
         """A job that was accepted once is never refused, whatever the repeat looks like."""
--- a/spoolcourse/control/intake/checks.py
+++ b/spoolcourse/control/intake/checks.py
@@ -2,25 +2,17 @@
 
 from __future__ import annotations
 
-from spoolcourse.wire.messages import Build, Submission
+from spoolcourse.wire.messages import Build, Submission, fits
 from spoolcourse.wire.settings import Params
 
 
 def usable_builds(sub: Submission, builds: dict[str, Build], zones: list[str]) -> list[str]:
     """The allowed machine types that a task of the job fits on."""
-    found = []
-    for build in builds.values():
-        if sub.builds is not None and build.name not in sub.builds:
-            continue
-        places = [z for z in build.yards if z in zones and sub.yard in (None, z)]
-        if (
-            places
-            and sub.vcpus <= build.vcpus
-            and sub.gpus <= build.gpus
-            and sub.memoryGb <= build.memoryGb
-        ):
-            found.append(build.name)
-    return found
+    return [
+        build.name
+        for build in builds.values()
+        if fits(sub, build) and any(z in zones and sub.yard in (None, z) for z in build.yards)
+    ]
 
 
 def refusal(sub: Submission, builds: dict[str, Build], params: Params) -> str | None:
--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, field
 
 from spoolcourse.control.jobs.records import JobRecord, Progress
+from spoolcourse.wire.messages import piece_name
 
 
 @dataclass(slots=True, eq=False)
@@ -29,6 +30,10 @@
     halting: bool = False
     halt_sent: bool = False  # to `/orders`
 
+    @property
+    def name(self) -> str:
+        return piece_name(self.work.id, self.piece)
+
     @property
     def never_sent(self) -> bool:
         """No start is under way, nor can have arrived."""
--- a/spoolcourse/control/jobs/writer.py
+++ b/spoolcourse/control/jobs/writer.py
@@ -163,7 +163,7 @@
         """Take over the stamps, and finished jobs, that the synced mirror shows."""
         for job, work in list(self._works.jobs.items()):
             stamp = self._mirror.stamp(job_key(job))
-            if stamp == 0 and work in self._works.finished.values():
+            if stamp == 0 and job in self._works.finished:
                 self._works.remove(work)
                 self._on_saved()
                 continue
--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -125,11 +125,12 @@
         number = (term.value["term"] if term else 0) + 1
         sent = loop.time()
         lease = await self._client.grant(self._ttl_s)
-        claim = {"label": self._label, "run": self._run_id, "term": number}
+        tenure = {"term": number, "run": self._run_id}
+        claim = tenure | {"label": self._label}
         try:
             outcome = await self._client.txn(
-                {LEADER: entry.stamp if entry else 0, TERM: term.stamp if term else 0},
-                [Put(LEADER, claim, lease), Put(TERM, {"term": number, "run": self._run_id})],
+                {LEADER: self._mirror.stamp(LEADER), TERM: self._mirror.stamp(TERM)},
+                [Put(LEADER, claim, lease), Put(TERM, tenure)],
                 urgent=True,
             )
             if not outcome.ok:
@@ -139,11 +140,11 @@
         except Unclear:
             # Perhaps it was carried out: the term key tells, and says whose it is.
             found = await self._client.get(TERM)
-            if found is None or found.value != {"term": number, "run": self._run_id}:
+            if found is None or found.value != tenure:
                 raise
             stamp = found.stamp
         self._mirror.apply(LEADER, claim, stamp)
-        self._mirror.apply(TERM, {"term": number, "run": self._run_id}, stamp)
+        self._mirror.apply(TERM, tenure, stamp)
         self.office = Office(number, stamp, lease)
         self.terms += 1
         self._deposed.clear()
--- a/spoolcourse/control/machines/cloud.py
+++ b/spoolcourse/control/machines/cloud.py
@@ -85,5 +85,5 @@
             raise CloudError(f"hire: {exc}") from exc
 
     async def delete(self, names: list[str]) -> None:
-        """Returns once the machines and everything on them are gone."""
-        await self._call("POST", "/hosts/delete", {"spindles": names[:DELETE_MAX]})
+        """Returns once the machines and everything on them are gone; DELETE_MAX at most."""
+        await self._call("POST", "/hosts/delete", {"spindles": names})
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -12,11 +12,12 @@
 from dataclasses import dataclass
 
 from spoolcourse.control.fleet.roster import Machine, Roster
-from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
+from spoolcourse.control.machines.cloud import DELETE_MAX, Cloud, CloudError, NoCapacity
 from spoolcourse.control.machines.demand import Demand
 from spoolcourse.control.net import Net, NetError
 from spoolcourse.policy.keys import KEYS, Policy
 from spoolcourse.wire.messages import Build, Host, Malformed, Report, parse
+from spoolcourse.wire.settings import Params
 
 log = logging.getLogger(__name__)
 
@@ -44,10 +45,7 @@
         builds: Callable[[], dict[str, Build]],
         clock: Callable[[], float],
         may_rent: Callable[[], bool],
-        list_lag_s: float,
-        lease_s: float,
-        cancel_s: float,
-        report_s: float,
+        params: Params,
         wall: Callable[[], float],
     ) -> None:
         self._net = net
@@ -57,10 +55,8 @@
         self._builds = builds
         self._clock = clock
         self._may_rent = may_rent
-        self._list_lag_s = list_lag_s
-        self._lease_s = lease_s
-        self._cancel_s = cancel_s
-        self._report_s = report_s
+        self._workers = params.workers
+        self._list_lag_s = params.cloud.list_lag_s
         self._wall = wall
         self._hires = 0
         self.demand = Demand(KEYS["keep_s"].high)
@@ -227,7 +223,7 @@
         """Most machines silent at once: more likely we are cut off than they are dead."""
         now = self._clock()
         known = [m for m in self._roster.machines.values() if m.heard_at is not None]
-        quiet = sum(1 for m in known if now - (m.heard_at or 0.0) > 3 * self._report_s + 1.0)
+        quiet = sum(1 for m in known if now - (m.heard_at or 0.0) > self._workers.quiet_s)
         return len(known) >= 3 and quiet * 2 > len(known)
 
     def to_delete(self) -> list[str]:
@@ -247,7 +243,7 @@
                 if not machine.deleting:
                     log.info("%s: returned: %s", machine.id, reason)
                 names.append(machine.id)
-        return names[:100]
+        return names[:DELETE_MAX]
 
     def _reason(self, machine: Machine, now: float, isolated: bool) -> str | None:
         if machine.deleting:
@@ -260,10 +256,13 @@
             return "a withdrawn job may be on it, and it can't be told"
         if heard is None and machine.up_at is not None and not machine.attempts:
             boot = self._boot_s(machine)
-            if now - (machine.up_at - boot) > self._policy.boot_patience * boot + self._report_s:
+            if (
+                now - (machine.up_at - boot)
+                > self._policy.boot_patience * boot + self._workers.report_s
+            ):
                 return "it does not come up"
             return None
-        if silent > self._policy.silent_leases * self._lease_s and not isolated:
+        if silent > self._policy.silent_leases * self._workers.lease_s and not isolated:
             return "it is silent"
         if len(machine.errors) >= 2 and not machine.attempts:
             return "tasks of several jobs fail on it"
@@ -326,8 +325,8 @@
     def _cancel_due(self, machine: Machine, silent: float) -> bool:
         """A withdrawn job's tasks must be gone within `cancel_s`: a silent machine can't
         be told, so it goes itself, early enough for a retry or two."""
-        quiet = silent > 3 * self._report_s + 1.0
-        limit = self._cancel_s * 0.4
+        quiet = silent > self._workers.quiet_s
+        limit = self._workers.cancel_s * 0.4
         wall = self._wall()
         return any(
             a.work.record.aborted_at is not None
--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -3,10 +3,9 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from spoolcourse.control.placement.backfill import fit
-from spoolcourse.control.placement.model import Job, Node
+from spoolcourse.control.placement.model import Job, Node, fit
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,38 +28,23 @@
     count: int
 
 
-@dataclass(slots=True)
-class _Bin:
-    build: int
-    zone: int
-    loaner: bool
-    cpus: float
-    gpus: float
-    memory: float
-
-
-def _allowed(job: Job, build: int, zone: int, loaner: bool) -> bool:
+def _allowed(job: Job, kind: Offer | Node) -> bool:
     return (
-        (job.builds is None or build in job.builds)
-        and (job.zone is None or job.zone == zone)
-        and (job.loaners or not loaner)
-        and not (job.one_zone and any(n for z, n in job.held.items() if z != zone))
+        job.takes(kind.build, kind.loaner)
+        and job.zone in (None, kind.zone)
+        and not job.elsewhere(kind.zone)
     )
 
 
-def _fill(job: Job, count: int, bins: list[_Bin]) -> int:
+def _fill(job: Job, count: int, nodes: list[Node]) -> int:
     """Put pieces into machines that are on their way; what is left over."""
-    for room in bins:
+    for node in nodes:
         if count <= 0:
             break
-        if not _allowed(job, room.build, room.zone, room.loaner):
-            continue
-        n = min(count, fit(room.cpus, room.gpus, room.memory, job))
-        if n > 0:
-            room.cpus -= n * job.cpus
-            room.gpus -= n * job.gpus
-            room.memory -= n * job.memory
-            count -= n
+        if _allowed(job, node):
+            taken = min(count, node.fit(job))
+            node.use(job, taken)
+            count -= taken
     return count
 
 
@@ -75,9 +59,7 @@
     """`demand` is in order: jobs with pieces that found no machine in the pass."""
     boot = min((o.boot_s for o in offers), default=0.0)
     soon = sum(t.cpus for n in nodes if n.ready_at <= now for t in n.tasks if t.end <= now + boot)
-    bins = [
-        _Bin(n.build, n.zone, n.loaner, n.cpus, n.gpus, n.memory) for n in nodes if n.ready_at > now
-    ]
+    coming = [replace(n) for n in nodes if n.ready_at > now]
     hires: dict[Offer, int] = {}
     room = list(team_room)
     for job, wanted in demand:
@@ -88,11 +70,11 @@
             served = min(count, math.floor(soon / job.cpus))
             soon -= served * job.cpus
             count -= served
-        count = _fill(job, count, bins)
+        count = _fill(job, count, coming)
         while count > 0 and sum(hires.values()) < most:
             best: tuple[float, Offer] | None = None
             for offer in offers:
-                if not _allowed(job, offer.build, offer.zone, offer.loaner):
+                if not _allowed(job, offer):
                     continue
                 if not offer.loaner and job.loaners and now < job.ordinary_at:
                     continue
@@ -106,10 +88,17 @@
                 break
             offer = best[1]
             hires[offer] = hires.get(offer, 0) + 1
-            fresh = _Bin(
-                offer.build, offer.zone, offer.loaner, offer.cpus, offer.gpus, offer.memory
+            fresh = Node(
+                offer.build,
+                offer.zone,
+                offer.loaner,
+                offer.cpus,
+                offer.gpus,
+                offer.memory,
+                size=offer.cpus,
+                pull_rate=0.0,
             )
-            bins.append(fresh)
+            coming.append(fresh)
             count = _fill(job, count, [fresh])
     return [Hire(offer, count) for offer, count in hires.items()]
 
--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -10,28 +10,25 @@
 
 from __future__ import annotations
 
-import math
-from collections.abc import Iterable
+from spoolcourse.control.placement.model import (
+    EPSILON,
+    PLENTY,
+    Decision,
+    Job,
+    Node,
+    Plan,
+    Room,
+    Snapshot,
+    fit,
+)
 
-from spoolcourse.control.placement.model import Decision, Job, Node, Plan, Snapshot
-
-EPSILON = 1e-6
 RESERVED_MAX = 64  # pieces of the head that are protected
 
 
-def fit(cpus: float, gpus: float, memory: float, job: Job) -> int:
-    """How many tasks of the job go into these resources."""
-    count = math.inf
-    for free, need in ((cpus, job.cpus), (gpus, job.gpus), (memory, job.memory)):
-        if need > 0:
-            count = min(count, math.floor((free + EPSILON) / need))
-    return int(max(0, min(count, 100_000)))
-
-
-class _Guard:
+class _Guard(Room):
     """What is kept for the head on one node from a point in time on."""
 
-    __slots__ = ("at", "cpus", "gpus", "memory")
+    __slots__ = ("at",)
 
     def __init__(self, at: float, cpus: float, gpus: float, memory: float) -> None:
         self.at = at
@@ -39,14 +36,12 @@
 
     def allows(self, job: Job, end: float) -> int:
         if end <= self.at + EPSILON:
-            return 100_000
-        return fit(self.cpus, self.gpus, self.memory, job)
+            return PLENTY
+        return self.fit(job)
 
     def book(self, job: Job, end: float, count: int) -> None:
         if end > self.at + EPSILON:
-            self.cpus -= count * job.cpus
-            self.gpus -= count * job.gpus
-            self.memory -= count * job.memory
+            self.use(job, count)
 
 
 class Pass:
@@ -80,37 +75,17 @@
     # -- what is allowed ------------------------------------------------------------
 
     def _team_room(self, job: Job) -> int:
+        # A team's limit knows no memory: as much as is asked for is there.
         team = self.s.teams[job.team]
-        room = math.inf
-        if job.cpus > 0:
-            room = min(room, math.floor((team.cpus + EPSILON) / job.cpus))
-        if job.gpus > 0:
-            room = min(room, math.floor((team.gpus + EPSILON) / job.gpus))
-        return int(max(0, min(room, 100_000)))
+        return fit(team.cpus, team.gpus, PLENTY * job.memory, job)
 
-    def _zones(self, job: Job) -> Iterable[int]:
+    def _zones(self, job: Job) -> set[int]:
         """Zones in which another task of the job may start at this moment."""
-        zones = range(self.s.zones) if job.zone is None else (job.zone,)
-        for zone in zones:
-            if self._zone_room(job, zone) > 0:
-                yield zone
-
-    def _zone_room(self, job: Job, zone: int) -> int:
-        # Pieces on machines whose zone isn't known may be anywhere: they count against
-        # every zone.
-        if job.one_zone and (job.lost or any(n for z, n in job.held.items() if z != zone)):
-            return 0
-        if job.spread is not None:
-            return max(0, job.spread - job.held.get(zone, 0) - job.lost)
-        return 100_000
+        return {zone for zone in range(self.s.zones) if job.zone_room(zone) > 0}
 
     @staticmethod
     def _suits(job: Job, index: int, node: Node) -> bool:
-        return (
-            (job.builds is None or node.build in job.builds)
-            and (job.loaners or not node.loaner)
-            and index not in job.avoid
-        )
+        return job.takes(node.build, node.loaner) and index not in job.avoid
 
     def _may_fetch(self, job: Job, node: Node) -> bool:
         """Whether the image is there, on its way, or one more fetch can be booked."""
@@ -135,7 +110,7 @@
         return (ahead + job.image_gb) / rate
 
     def _place(self, index: int, job: Job, wanted: int) -> int:
-        zones = set(self._zones(job))
+        zones = self._zones(job)
         choices: list[tuple[int, float, float, int]] = []
         fetch_blocked = False
         for number, node in enumerate(self.s.nodes):
@@ -143,7 +118,7 @@
                 continue
             if not self._suits(job, number, node):
                 continue
-            if fit(node.cpus, node.gpus, node.memory, job) < 1:
+            if node.fit(job) < 1:
                 continue
             if not self._may_fetch(job, node):
                 fetch_blocked = True
@@ -185,7 +160,7 @@
         room: dict[int, int] = {}
         for *_, number in choices:
             node = self.s.nodes[number]
-            room[node.zone] = room.get(node.zone, 0) + fit(node.cpus, node.gpus, node.memory, job)
+            room[node.zone] = room.get(node.zone, 0) + node.fit(job)
         best = max(room, key=lambda zone: (min(room[zone], want), -zone))
         choices[:] = [c for c in choices if self.s.nodes[c[3]].zone == best]
 
@@ -196,8 +171,8 @@
         end = self.s.now + self._fetch_s(job, node) + job.estimate
         count = min(
             wanted,
-            fit(node.cpus, node.gpus, node.memory, job),
-            self._zone_room(job, node.zone),
+            node.fit(job),
+            job.zone_room(node.zone),
         )
         guard = self._guards.get(number)
         if guard is not None:
@@ -209,9 +184,7 @@
         if job.image_gb > 0 and job.image not in node.images and job.image not in node.pulling:
             node.pulling[job.image] = job.image_gb
             self._fetches[node.zone] += 1
-        node.cpus -= count * job.cpus
-        node.gpus -= count * job.gpus
-        node.memory -= count * job.memory
+        node.use(job, count)
         team = self.s.teams[job.team]
         team.cpus -= count * job.cpus
         team.gpus -= count * job.gpus
@@ -224,7 +197,7 @@
     def _protect(self, index: int, job: Job, left: int) -> None:
         """Work out when the head's next pieces can start, and guard that."""
         offers: list[tuple[float, int, int]] = []  # when, node, pieces by then
-        zones = set(self._zones(job))
+        zones = self._zones(job)
         for number, node in enumerate(self.s.nodes):
             if node.zone not in zones or not self._suits(job, number, node):
                 continue
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -2,8 +2,21 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
+EPSILON = 1e-6
+PLENTY = 100_000  # pieces: no job has more
+
+
+def fit(cpus: float, gpus: float, memory: float, job: Job) -> int:
+    """How many tasks of the job go into these resources."""
+    count = math.inf
+    for free, need in ((cpus, job.cpus), (gpus, job.gpus), (memory, job.memory)):
+        if need > 0:
+            count = min(count, math.floor((free + EPSILON) / need))
+    return int(max(0, min(count, PLENTY)))
+
 
 @dataclass(slots=True, order=True)
 class RunningTask:
@@ -21,8 +34,25 @@
     safe: bool = False  # its job is within its team's guarantee
 
 
+class Room:
+    """Resources that a job's pieces can be put into."""
+
+    __slots__ = ("cpus", "gpus", "memory")
+    cpus: float
+    gpus: float
+    memory: float
+
+    def fit(self, job: Job) -> int:
+        return fit(self.cpus, self.gpus, self.memory, job)
+
+    def use(self, job: Job, count: int) -> None:
+        self.cpus -= count * job.cpus
+        self.gpus -= count * job.gpus
+        self.memory -= count * job.memory
+
+
 @dataclass(slots=True)
-class Node:
+class Node(Room):
     """A machine. `ready_at` is in the future while it boots."""
 
     build: int
@@ -48,7 +78,7 @@
 
 @dataclass(slots=True)
 class Job:
-    """A job with pieces to place."""
+    """A job with pieces to place. `PLENTY` of them means: no bound."""
 
     pending: int
     cpus: float
@@ -71,6 +101,23 @@
     guaranteed: bool = False  # it fits into its team's guarantee
     ordinary_at: float = 0.0  # from then on ordinary machines may be rented for it
 
+    def takes(self, build: int, loaner: bool) -> bool:
+        """Whether it may run on this kind of machine."""
+        return (self.builds is None or build in self.builds) and (self.loaners or not loaner)
+
+    def elsewhere(self, zone: int) -> bool:
+        """It must stay in one zone, and that is another."""
+        return self.one_zone and any(n for z, n in self.held.items() if z != zone)
+
+    def zone_room(self, zone: int) -> int:
+        """How many more of its pieces may start in the zone at this moment. Those on
+        machines whose zone isn't known may be anywhere: they count against every zone."""
+        if self.zone not in (None, zone) or self.elsewhere(zone) or (self.one_zone and self.lost):
+            return 0
+        if self.spread is not None:
+            return max(0, self.spread - self.held.get(zone, 0) - self.lost)
+        return PLENTY
+
 
 @dataclass(slots=True)
 class Team:
--- a/spoolcourse/control/placement/preempt.py
+++ b/spoolcourse/control/placement/preempt.py
@@ -8,8 +8,7 @@
 
 from __future__ import annotations
 
-from spoolcourse.control.placement.backfill import fit
-from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot
+from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot, fit
 
 
 def _may_stop(job: Job, task: RunningTask, over: list[float]) -> bool:
@@ -23,11 +22,8 @@
 def _node_suits(job: Job, number: int, node: Node, now: float) -> bool:
     return (
         node.ready_at <= now
-        and (job.zone is None or job.zone == node.zone)
-        and not (job.one_zone and any(n for z, n in job.held.items() if z != node.zone))
-        and (job.spread is None or job.held.get(node.zone, 0) + job.lost < job.spread)
-        and (job.builds is None or node.build in job.builds)
-        and (job.loaners or not node.loaner)
+        and job.zone_room(node.zone) > 0
+        and job.takes(node.build, node.loaner)
         and number not in job.avoid
     )
 
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -8,7 +8,7 @@
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
 from spoolcourse.policy.keys import Policy
-from spoolcourse.wire.messages import Build
+from spoolcourse.wire.messages import Build, fits
 from spoolcourse.wire.settings import Params
 
 log = logging.getLogger(__name__)
@@ -66,17 +66,9 @@
     def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
         """Machine types that some job of late depends on, while others have a choice."""
         for work in self._works.jobs.values():
-            sub = work.record.sub
-            fits = [
-                b.name
-                for b in builds.values()
-                if (sub.builds is None or b.name in sub.builds)
-                and sub.vcpus <= b.vcpus
-                and sub.gpus <= b.gpus
-                and sub.memoryGb <= b.memoryGb
-            ]
-            if len(fits) < len(builds):
-                for name in fits:
+            fitting = [b.name for b in builds.values() if fits(work.record.sub, b)]
+            if len(fitting) < len(builds):
+                for name in fitting:
                     self._rare_until[name] = now + self._policy.rare_s
 
     def is_rare(self, build: str, now: float) -> bool:
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -6,6 +6,7 @@
 import logging
 import time
 from collections.abc import Callable, Coroutine
+from itertools import islice
 from typing import Any
 
 from spoolcourse.control.fleet.courier import Courier
@@ -85,10 +86,7 @@
             builds,
             self._clock,
             leadership.valid,
-            params.cloud.list_lag_s,
-            params.workers.lease_s,
-            params.workers.cancel_s,
-            params.workers.report_s,
+            params,
             wall,
         )
         self._surveyor = Surveyor(self.works, self.roster, params, policy)
@@ -246,8 +244,7 @@
 
     def deaf(self) -> bool:
         """No worker has got through to this node itself for a while."""
-        quiet = self._clock() - self._heard_direct
-        return quiet > 3 * self._params.workers.report_s + 1.0
+        return self._clock() - self._heard_direct > self._params.workers.quiet_s
 
     async def report(self, report: Report, direct: bool = True) -> Reply:
         if report.baton > self._office.term:
@@ -312,8 +309,7 @@
         for decision in plan.decisions:
             work = self._surveyor.works[decision.job]
             machine = self._surveyor.machines[decision.node]
-            pieces = work.candidates()
-            chosen = [p for _, p in zip(range(decision.count), pieces, strict=False)]
+            chosen = list(islice(work.candidates(), decision.count))
             for piece in chosen:
                 self._attempts += 1
                 number = (self._office.term << 24) + self._attempts
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -10,6 +10,8 @@
 from typing import Any
 from urllib.parse import urlsplit
 
+import msgspec
+
 from spoolcourse.control import view
 from spoolcourse.control.fleet.relay import Relay
 from spoolcourse.control.intake.api import PATH, Intake, later
@@ -160,18 +162,15 @@
     async def _store_catalog(self, catalog: Catalog) -> None:
         if not self.leadership.valid():
             return
-        fixed = [
-            {f: getattr(b, f) for f in b.__struct_fields__}
-            for b in sorted(catalog.builds, key=lambda b: b.name)
-        ]
+        builds = sorted(catalog.builds, key=lambda b: b.name)
         entry = self.mirror.get(CATALOG)
         if entry is not None:
             old = {b["name"] for b in entry.value["builds"]}
-            if old == {b["name"] for b in fixed}:
+            if old == {b.name for b in builds}:
                 return
-        value = {"builds": fixed}
+        value = {"builds": msgspec.to_builtins(builds)}
         outcome = await self.client.txn(
-            {CATALOG: entry.stamp if entry else 0}, [Put(CATALOG, value)]
+            {CATALOG: self.mirror.stamp(CATALOG)}, [Put(CATALOG, value)]
         )
         if outcome.ok:
             self.mirror.apply(CATALOG, value, outcome.ledger)
@@ -209,14 +208,12 @@
         """Users, workers and health checks."""
         path = urlsplit(request.path).path
         if path == "/v1/report" and request.method == "POST":
-            return await self._report(request.body)
+            return await self._report(request.body, hop=False)
         if path == "/healthz":
             ok = self.ready and self.healthy
             return Reply(200 if ok else 503, {"ok": ok})
         if path == PATH or path.startswith(PATH + "/"):
-            if not self.ready:
-                return later("starting")
-            return await self.intake.handle(request)
+            return await self._users(request, hop=False)
         return Reply(404, {"error": "no such resource"})
 
     async def peers(self, request: Request) -> Reply:
@@ -225,35 +222,31 @@
         if path == "/healthz":
             return Reply(200 if self.ready else 503, {})
         if path == "/v1/report" and request.method == "POST":
-            return await self._relayed(request.body)
+            return await self._report(request.body, hop=True)
         if path == "/status" and request.method == "GET":
             return Reply(200, view.status(self))
         if path == "/metrics" and request.method == "GET":
             return Reply(200, view.metrics(self), {"Content-Type": "text/plain; version=0.0.4"})
         if path == PATH or path.startswith(PATH + "/"):
-            if not self.ready:
-                return later("starting")
-            return await self.intake.handle(request, hop=True)
+            return await self._users(request, hop=True)
         return Reply(404, {"error": "no such resource"})
 
-    async def _report(self, raw: bytes) -> Reply:
-        try:
-            report = parse_report(raw)
-        except Malformed as exc:
-            return Reply(400, {"error": str(exc)})
-        if self.reign is not None:
-            return await self.reign.report(report)
-        return await self.relay.handle(report.spindle, raw, self.leadership.foreman)
+    async def _users(self, request: Request, hop: bool) -> Reply:
+        if not self.ready:
+            return later("starting")
+        return await self.intake.handle(request, hop)
 
-    async def _relayed(self, raw: bytes) -> Reply:
-        """A worker's report that a follower passes on."""
+    async def _report(self, raw: bytes, hop: bool) -> Reply:
+        """A worker's report; `hop`: a follower passes it on, and it goes no further."""
         try:
             report = parse_report(raw)
         except Malformed as exc:
             return Reply(400, {"error": str(exc)})
         if self.reign is None:
-            return Reply(421, {})
-        reply = await self.reign.report(report, direct=False)
-        if reply.status == 200:
+            if hop:
+                return Reply(421, {})
+            return await self.relay.handle(report.spindle, raw, self.leadership.foreman)
+        reply = await self.reign.report(report, direct=not hop)
+        if hop and reply.status == 200:
             reply.data["deaf"] = self.reign.deaf()
         return reply
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -49,6 +49,16 @@
     dueS: Seconds | None = None
 
 
+def fits(sub: Submission, build: Build) -> bool:
+    """Whether the type is allowed, and an empty machine of it takes a task of the job."""
+    return (
+        (sub.builds is None or build.name in sub.builds)
+        and sub.vcpus <= build.vcpus
+        and sub.gpus <= build.gpus
+        and sub.memoryGb <= build.memoryGb
+    )
+
+
 class Piece(msgspec.Struct, frozen=True):
     """One task in a worker's report."""
 
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -51,6 +51,11 @@
     lease_s: Positive
     cancel_s: Positive
 
+    @property
+    def quiet_s(self) -> float:
+        """A worker that was not heard for so long has missed two reports for certain."""
+        return 3 * self.report_s + 1.0
+
 
 class State(msgspec.Struct, frozen=True):
     rps: Positive
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -104,6 +104,12 @@
 
         return serve
 
+    def cut_off(self, host: str) -> None:
+        """Nothing reaches the host any more, and nothing comes from it."""
+        self.wire.filters.append(
+            lambda src, dst, *rest: "cut" if host in (src, dst.split(":")[0]) else None
+        )
+
     def kill(self, label: str) -> None:
         self.nodes.pop(label).stop()
         del self.wire.hosts[f"{label}:80"], self.wire.hosts[f"{label}:81"]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -154,6 +154,8 @@
     assert stopped([job(2, 2.0, **claim)], nodes()) == [2]
     assert stopped([job(3, 2.0, **claim)], nodes()) == [2, 1]
     assert stopped([job(2, 2.0, rank=1)], nodes()) == [], "no claim"
+    lost = job(2, 2.0, one_zone=True, lost=1, **claim)
+    assert stopped([lost], nodes()) == [], "it could not start there anyway"
     assert stopped([job(2, 2.0, rank=2, claim=True)], nodes()) == [], "not of lower rank"
     soon = [node(0.0, tasks=[task(1, end=103.0)])]
     assert stopped([job(1, 2.0, **claim)], soon) == [], "it ends by itself"
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -146,9 +146,7 @@
         await world.submit(job(pieces=1))
         await world.until(lambda: len(world.cloud.starts) == 1)
         cut_at = world.now()
-        world.wire.filters.append(
-            lambda src, dst, method, path, body: "cut" if name in (src, dst.split(":")[0]) else None
-        )
+        world.cut_off(name)
         world.cloud.add("b")
         await world.until(lambda: len(world.cloud.starts) == 2)
         assert world.now() - cut_at > world.cloud.lease_s
@@ -181,9 +179,7 @@
         await asyncio.sleep(5)
         await world.submit(job())
         await world.until(lambda: len(world.cloud.starts) == 4)
-        world.wire.filters.append(
-            lambda src, dst, method, path, body: "cut" if name in (src, dst.split(":")[0]) else None
-        )
+        world.cut_off(name)
         reply = await world.cancel()
         assert (reply.status, reply.data["stage"]) == (200, "aborted")
         await world.until(lambda: not world.cloud.on_machines("job-000001"), 40)
