Added rules: machines that get no answers, late copies, cut-off leaders, first tasks before rank

Cause: a machine whose reports arrive but that gets no answers kept its pieces for ever, was never silent, and a withdrawn job on it stayed; late copies counted as signs of life and got our baton; a node cut off named a leader long replaced; urgent work could keep a job from ever beginning. Each has a story in tests/test_troubles.py; those that already passed were seen to fail with their guard taken out (health by peers, yielding to a higher baton, probing, conditions of the election, a restarted process recognising its former self, the write before the 201).

--- a/spoolcourse/control/fleet/relay.py
+++ b/spoolcourse/control/fleet/relay.py
@@ -30,17 +30,20 @@
         self._passed: dict[str, tuple[float, bool]] = {}  # worker: when, was the leader deaf
         self._probe_at = float("-inf")
 
-    async def handle(self, worker: str, raw: bytes, foreman: str | None) -> Reply:
+    async def handle(self, worker: str, raw: bytes, foreman: str | None, informed: bool) -> Reply:
+        """`informed`: the leader's name is no older than a lease or two. A node that was
+        cut off must not send workers to one that was replaced long ago."""
+        named = Reply(421, {"foreman": foreman}) if informed else Reply(421, {})
         if foreman is None or foreman == self._label or foreman not in self._peers:
             return Reply(421, {})
         now = asyncio.get_running_loop().time()
         at, deaf = self._passed.get(worker, (float("-inf"), True))
         recent = now - at < 3 * self._report_s
-        if recent and (not deaf or now - self._probe_at > PROBE_S):
+        if informed and recent and (not deaf or now - self._probe_at > PROBE_S):
             if deaf:
                 self._probe_at = now
             self._passed.pop(worker, None)
-            return Reply(421, {"foreman": foreman})
+            return named
         if not recent and len(self._passed) >= KNOWN_MOST:
             self._passed.clear()
         try:
@@ -49,7 +52,7 @@
             )
         except NetError as exc:
             log.debug("%s: report not passed on: %s", worker, exc)
-            return Reply(421, {"foreman": foreman})
+            return named
         if reply.status != 200 or not isinstance(reply.data, dict):
             return Reply(421, {})
         deaf = bool(reply.data.pop("deaf", False))
--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -21,6 +21,7 @@
 log = logging.getLogger(__name__)
 
 ORDERS_MAX = 300  # per response, well below 64 KiB
+UNHEEDED_MOST = 3  # answers in a row without effect: later ones will have none either
 
 
 @dataclass(slots=True, eq=False)
@@ -39,6 +40,10 @@
     heard_at: float | None = None  # a report of any kind
     answered_at: float | None = None  # a 200 of ours, which may have renewed its lease
     silent_proof: bool = False  # its lease has run out since our last answer
+    session_at: float = 0.0  # when this session was first heard of
+    unheeded: int = 0  # answers with starts in a row that had no effect
+    deaf_since: float | None = None  # its reports arrive, our answers don't
+    proven_at: float = 0.0  # the last report under our baton, or `since`
     listed: str | None = None  # its stage in the cloud's list
     rented_at: float | None = None
     up_at: float | None = None  # when it is expected, while it boots
@@ -61,6 +66,7 @@
             self.confirmed
             and not self.deleting
             and not self.silent_proof
+            and self.deaf_since is None
             and self.recall_at is None
             and self.build is not None
         )
@@ -82,6 +88,7 @@
         self.works = works
         self.term = term
         self._lease_s = lease_s
+        self._margin_s = lease_s * (1 + DRIFT) + 1.0  # after it a lease is over for certain
         self._clock = clock
         self._may_start = may_start
         self._over = gone_for_good
@@ -93,7 +100,7 @@
     def machine(self, name: str) -> Machine:
         machine = self.machines.get(name)
         if machine is None:
-            machine = self.machines[name] = Machine(name, self._clock())
+            machine = self.machines[name] = Machine(name, self._clock(), proven_at=self._clock())
         return machine
 
     def link(self, attempt: Attempt) -> None:
@@ -124,33 +131,57 @@
         """Silence alone proves nothing. A lease proves an end only for a worker that has
         reported our baton in this session: nobody else's answer can have renewed it."""
         now = self._clock()
-        margin = self._lease_s * (1 + DRIFT) + 1.0
         for machine in self.machines.values():
             if (
                 machine.confirmed
                 and not machine.silent_proof
                 and machine.answered_at is not None
-                and now - machine.answered_at > margin
+                and now - machine.answered_at > self._margin_s
             ):
                 log.info("%s: silent, its lease has run out", machine.id)
                 machine.silent_proof = True
+                # What still comes from that session was held on the way: a sign of life
+                # starts with the next one.
+                machine.shift, machine.tick = machine.shift + 1, -1
+                machine.confirmed = False
                 machine.strays.clear()
                 for attempt in list(machine.attempts.values()):
                     self.drop(attempt)
 
+    # -- machines that don't get our answers ------------------------------------------
+
+    def _unheeded(self, machine: Machine) -> None:
+        """An answer had no effect. After some in a row, the machine gets no more work, and
+        what it was to start goes elsewhere once that is proven not to have arrived: those
+        pieces would stay bound to it for ever, for its reports go on and it is never silent.
+        """
+        machine.unheeded += 1
+        if machine.unheeded >= UNHEEDED_MOST and machine.deaf_since is None:
+            log.info("%s: takes no answers", machine.id)
+            machine.deaf_since = self._clock()
+
+    @staticmethod
+    def _hears(machine: Machine) -> None:
+        machine.unheeded = 0
+        machine.deaf_since = None
+
     # -- reports ------------------------------------------------------------------
 
-    def accept(self, report: Report) -> list[dict[str, Any]]:
-        """Take in a report that carries no higher baton than ours; the orders to answer."""
+    def accept(self, report: Report) -> list[dict[str, Any]] | None:
+        """Take in a report that carries no higher baton than ours; the orders to answer.
+
+        None for one that is no newer than what is known, or whose machine is gone: a copy
+        that was late on the way. It is no sign of life and must get no answer that could
+        renew a lease, or the proof by lease would have to wait for every copy.
+        """
         now = self._clock()
         if report.spindle in self.buried:
-            return []  # held on the way while its machine was deleted
+            return None
         machine = self.machine(report.spindle)
-        machine.heard_at = now
-        machine.answered_at = now
         if (report.shift, report.tick) <= (machine.shift, machine.tick):
-            return []  # a late copy: it changes nothing and gets no orders
+            return None
         self.learn(machine, report)
+        machine.answered_at = now
         if report.baton != self.term:
             # Older orders may still reach it. Our baton in the answer ends that, and its
             # next report tells what is there.
@@ -164,12 +195,23 @@
         machine = self.machine(report.spindle)
         if (report.shift, report.tick) > (machine.shift, machine.tick):
             self.learn(machine, report)
+            self._hears(machine)
 
     def learn(self, machine: Machine, report: Report) -> None:
         now = self._clock()
-        if report.shift != machine.shift:
+        if report.shift != machine.shift or machine.silent_proof or machine.heard_at is None:
+            if (
+                machine.confirmed
+                and machine.answered_at is not None
+                and now - machine.answered_at < self._lease_s / 2
+            ):
+                self._unheeded(machine)  # its lease ran out although it was answered
             machine.confirmed = False
             machine.kept.clear()
+            machine.session_at = now
+        elif now - machine.session_at > self._margin_s:
+            self._hears(machine)  # a session that outlives a lease was answered
+        machine.heard_at = now
         machine.shift, machine.tick = report.shift, report.tick
         machine.build, machine.yard = report.build, report.yard
         machine.loaner, machine.address = report.loaners, report.address
@@ -180,6 +222,7 @@
         else:
             machine.recall_at = None
         if report.baton == self.term:
+            machine.proven_at = now
             if not machine.confirmed:
                 machine.confirmed = True
                 log.debug("%s: confirmed in session %d", machine.id, report.shift)
@@ -196,9 +239,16 @@
             attempt = machine.attempts.get((job, piece))
             if attempt is not None and attempt.number == item.attempt:
                 present.add((job, piece))
+                if attempt.stage == "assigned":
+                    self._hears(machine)
                 self._progress(machine, attempt, item, now)
             elif self._stray(machine, job, piece, item, now):
                 present.add((job, piece))
+        if any(
+            a.stage == "assigned" and a.sent is not None and key not in present
+            for key, a in machine.attempts.items()
+        ):
+            self._unheeded(machine)
         for key, attempt in list(machine.attempts.items()):
             if key in present:
                 continue
@@ -207,6 +257,7 @@
             if attempt.stage == "assigned" and (attempt.sent is None or attempt.sent < stamp):
                 attempt.sent = None  # that start never arrived and can't any more
                 unwanted = attempt.work.record.aborted or attempt.halting
+                unwanted = unwanted or machine.deaf_since is not None
                 if unwanted and attempt.loose is None:
                     self.drop(attempt)
             elif attempt.stage != "assigned":
--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -63,6 +63,12 @@
         entry = self._mirror.get(LEADER)
         return entry.value["label"] if entry else None
 
+    @property
+    def informed(self) -> bool:
+        """Whether this node would have heard of a change of leader by now."""
+        silence = asyncio.get_running_loop().time() - self._mirror.synced_at
+        return silence < 2 * self._ttl_s
+
     def valid(self) -> bool:
         """True while no other node can have been elected."""
         return self.office is not None and (
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -121,7 +121,8 @@
 
         async def one(machine: Machine) -> None:
             async with gate:
-                await self.raise_baton(machine)
+                if not machine.confirmed:  # its own report may have come meanwhile
+                    await self.raise_baton(machine)
 
         await asyncio.gather(*(one(m) for m in todo))
 
@@ -223,17 +224,23 @@
         """Most machines silent at once: more likely we are cut off than they are dead."""
         now = self._clock()
         known = [m for m in self._roster.machines.values() if m.heard_at is not None]
-        quiet = sum(1 for m in known if now - (m.heard_at or 0.0) > self._workers.quiet_s)
+        quiet = sum(
+            1
+            for m in known
+            if not m.confirmed
+            or m.deaf_since is not None
+            or now - (m.heard_at or 0.0) > self._workers.quiet_s
+        )
         return len(known) >= 3 and quiet * 2 > len(known)
 
     def to_delete(self) -> list[str]:
         now = self._clock()
-        isolated = self.isolated()
+        isolated, overdue = self.isolated(), self._overdue()
         names = []
         spare = -self.short(now)
         self.mark_surplus(now)
         for machine in self._roster.machines.values():
-            reason = self._reason(machine, now, isolated)
+            reason = self._reason(machine, now, isolated, overdue)
             if reason is None and self._idle(machine, now):
                 cpus = self._cpus(machine)
                 if machine.surplus or cpus <= spare:
@@ -245,14 +252,16 @@
                 names.append(machine.id)
         return names[:DELETE_MAX]
 
-    def _reason(self, machine: Machine, now: float, isolated: bool) -> str | None:
+    def _reason(
+        self, machine: Machine, now: float, isolated: bool, overdue: set[str]
+    ) -> str | None:
         if machine.deleting:
             return "asked for before"
         if machine.listed == "failed":
             return "it failed"
         heard = machine.heard_at
         silent = now - (heard if heard is not None else machine.since)
-        if self._cancel_due(machine, silent):
+        if self._holds(machine, overdue, now):
             return "a withdrawn job may be on it, and it can't be told"
         if heard is None and machine.up_at is not None and not machine.attempts:
             boot = self._boot_s(machine)
@@ -262,8 +271,15 @@
             ):
                 return "it does not come up"
             return None
-        if silent > self._policy.silent_leases * self._workers.lease_s and not isolated:
+        patience = self._policy.silent_leases * self._workers.lease_s
+        if isolated:
+            pass
+        elif silent > patience:
             return "it is silent"
+        elif machine.deaf_since is not None and now - machine.deaf_since > patience:
+            return "it takes no answers"
+        elif now - machine.proven_at > patience:
+            return "our baton does not reach it"  # so what it holds would stay open for ever
         if len(machine.errors) >= 2 and not machine.attempts:
             return "tasks of several jobs fail on it"
         return None
@@ -322,17 +338,23 @@
             limit = max(policy.idle_min_s, policy.idle_boots * boot)
         return now - machine.idle_since > limit
 
-    def _cancel_due(self, machine: Machine, silent: float) -> bool:
-        """A withdrawn job's tasks must be gone within `cancel_s`: a silent machine can't
-        be told, so it goes itself, early enough for a retry or two."""
-        quiet = silent > self._workers.quiet_s
-        limit = self._workers.cancel_s * 0.4
-        wall = self._wall()
-        return any(
-            a.work.record.aborted_at is not None
-            and wall - a.work.record.aborted_at > limit
-            and (quiet or a.loose is not None)
-            for a in machine.attempts.values()
+    def _overdue(self) -> set[str]:
+        """Withdrawn jobs whose tasks should have ended by now: they must be gone within
+        `cancel_s`, and a deletion may need a retry or two."""
+        wall, limit = self._wall(), self._workers.cancel_s * 0.4
+        return {
+            work.id
+            for work in self._roster.works.jobs.values()
+            if work.record.aborted_at is not None and wall - work.record.aborted_at > limit
+        }
+
+    def _holds(self, machine: Machine, jobs: set[str], now: float) -> bool:
+        """A task of these jobs may be there. Whether the machine is silent or only our
+        answers don't reach it: it can't be told, so it goes itself."""
+        if not jobs or now - machine.since <= self._workers.quiet_s:
+            return False  # or it has hardly had the time to be told by this leader
+        return any(job in jobs for job, _ in machine.attempts) or any(
+            stray[0] in jobs for stray in machine.strays
         )
 
 
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -106,6 +106,7 @@
         # follows the same order: otherwise two claims would stop each other in turn.
         self.works.sort(
             key=lambda w: (
+                not self._unbegun(w, now),
                 RANKS.index(w.record.sub.rank),
                 w.id not in self._within,
                 w.order,
@@ -156,6 +157,13 @@
             zone_fetches=int(self._policy.zone_fetches),
         )
 
+    def _unbegun(self, work: Work, now: float) -> bool:
+        """The fourth exception: urgent work that keeps arriving must not keep a job from
+        ever beginning, so after a while its first task, and no more, goes before rank."""
+        return (
+            not work.attempts and work.done == 0 and now - work.waiting_since > self._policy.begin_s
+        )
+
     def _ordinary_at(self, work: Work) -> float:
         """Ordinary machines cost a multiple of spot ones. They are for deadlines that
         would be missed otherwise, and for work without one; the rest waits for spot
@@ -253,7 +261,7 @@
     def _job(self, work: Work, now: float, number_of: dict[str, int]) -> Job:
         sub = work.record.sub
         job = Job(
-            pending=work.pending if work.retry_at <= now else 0,
+            pending=0 if work.retry_at > now else 1 if self._unbegun(work, now) else work.pending,
             cpus=sub.vcpus,
             gpus=sub.gpus,
             memory=sub.memoryGb,
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -249,12 +249,14 @@
     async def report(self, report: Report, direct: bool = True) -> Reply:
         if report.baton > self._office.term:
             self._leadership.depose(f"{report.spindle} has seen term {report.baton}")
-            return Reply(503, {"error": "deposed"})
+            return Reply(421, {})  # the worker goes on to the next node
         if not self.ready.is_set():
             return Reply(503, {"error": "taking over"})
-        if direct:
-            self._heard_direct = self._clock()
         orders = self.roster.accept(report)
+        if direct and orders is not None:
+            self._heard_direct = self._clock()
+        if orders is None:
+            return Reply(200, {"orders": []})  # without a token nobody's lease is renewed
         return Reply(200, {"baton": self._office.term, "orders": orders})
 
     # -- passes -------------------------------------------------------------------------
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -245,7 +245,10 @@
         if self.reign is None:
             if hop:
                 return Reply(421, {})
-            return await self.relay.handle(report.spindle, raw, self.leadership.foreman)
+            leadership = self.leadership
+            return await self.relay.handle(
+                report.spindle, raw, leadership.foreman, leadership.informed
+            )
         reply = await self.reign.report(report, direct=not hop)
         if hop and reply.status == 200:
             reply.data["deaf"] = self.reign.deaf()
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -169,6 +169,7 @@
         self.workers: dict[str, FakeWorker] = {}
         self.hosts: dict[str, dict[str, Any]] = {}
         self.hires: dict[str, list[str]] = {}
+        self._made = 0
         self.capacity = 50
         self.lease_s, self.report_s, self.pull_s, self.boot_s = 10.0, 1.5, 1.0, 5.0
         self.run_s: Callable[[str], float] = lambda task: 10.0
@@ -193,7 +194,8 @@
         ]
 
     def add(self, yard: str = "a", loaner: bool = False, boot_s: float = 0.0) -> str:
-        name = f"m-{len(self.hosts):06d}"
+        name = f"m-{self._made:06d}"  # never reused
+        self._made += 1
         host = {
             "id": name,
             "address": f"{name}:9000",
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -35,7 +35,7 @@
         self.work: Work = self.works.add(JobRecord(sub, 1.0, 170, None, 5), self.now)
         self.tick = 0
 
-    def report(self, *pieces: dict[str, Any], **fields: Any) -> list[dict[str, Any]]:
+    def report(self, *pieces: dict[str, Any], **fields: Any) -> list[dict[str, Any]] | None:
         self.tick += 1
         data = {
             "spindle": "m-1",
@@ -87,7 +87,7 @@
     crew.report()
     attempt = crew.assign()
     assert crew.report() == [START]
-    assert crew.report(tick=1) == [], "a late copy"
+    assert crew.report(tick=1) is None, "a late copy"
     crew.tick -= 1
     assert attempt.sent == (1, 2)
     assert crew.report() == [START], "a newer report without it: it never arrived"
@@ -188,7 +188,7 @@
     crew.assign()
     crew.roster.gone("m-1")
     assert crew.work.pending == 4
-    assert crew.report(on()) == [] and not crew.work.attempts
+    assert crew.report(on()) is None and not crew.work.attempts
 
 
 def test_malformed_reports_are_refused() -> None:
--- /dev/null
+++ b/tests/test_troubles.py
@@ -0,0 +1,382 @@
+"""Half-open ways, late copies, nodes cut off with their workers, restarts at once; and what
+every accepted job can count on whatever else goes on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from spoolcourse.control.net import Reply
+from tests.fakes.clock import play
+from tests.fakes.net import Filter
+from tests.fakes.world import LABELS, World, job
+
+
+def half_open(name: str) -> Filter:
+    """The machine's reports arrive; answers and commands don't reach it."""
+
+    def check(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+        if src == name:
+            return "lose"
+        return "cut" if dst == f"{name}:9000" else None
+
+    return check
+
+
+def test_no_piece_stays_bound_to_a_machine_that_gets_no_answers() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.capacity = 2
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        world.wire.filters.append(half_open(name))
+        await world.submit(job(pieces=4))
+        await world.finish(1, 60)
+        assert {machine for _, _, machine in world.cloud.starts} != {name}
+        # It is not given anything later either, and is replaced in the end.
+        before = len(world.cloud.starts)
+        await world.submit(job(2, pieces=4))
+        await world.finish(2, 60)
+        assert all(machine != name for _, _, machine in world.cloud.starts[before:])
+        await world.until(lambda: name not in world.cloud.hosts, 60)
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_machine_that_gets_answers_again_gets_work_again() -> None:
+    async def story() -> None:
+        world = World({"silent_leases": 100})
+        world.cloud.capacity = 1
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        world.wire.filters.append(half_open(name))
+        await world.submit(job(pieces=4))
+        await asyncio.sleep(60)
+        assert world.cloud.starts == []
+        reign = world.nodes[str(world.leader)].reign
+        assert reign is not None and reign.roster.machines[name].deaf_since is not None
+        world.wire.filters.clear()
+        await world.finish(1, 60)
+        assert world.cloud.broken == [] and len(world.cloud.starts) == 4
+
+    play(story())
+
+
+def test_work_on_a_machine_that_gets_no_answers_outlives_no_leader_unproven() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 30.0
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        await world.submit(job(pieces=4))
+        await world.until(lambda: len(world.cloud.starts) == 4)
+        world.wire.filters.append(half_open(name))
+        world.kill(str(world.leader))
+        # The new leader's baton never reaches it: nothing it reports is proof of anything.
+        await world.finish(1, 120)
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_cancelled_job_is_gone_in_time_where_answers_do_not_arrive() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 500.0
+        world.cloud.lease_s = 300.0
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        await world.submit(job())
+        await world.until(lambda: len(world.cloud.starts) == 4)
+        world.wire.filters.append(half_open(name))
+        assert (await world.cancel()).data["stage"] == "aborted"
+        await world.until(lambda: not world.cloud.on_machines("job-000001"), 40)
+
+    play(story())
+
+
+class Copies:
+    """Keeps what workers report, to bring copies of it late."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.kept: list[tuple[float, dict[str, Any]]] = []
+        world.wire.filters.append(self._note)
+
+    def _note(self, src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+        if path == "/v1/report" and src.startswith("m-"):
+            self.kept.append((self._world.now(), body))
+        return None
+
+    async def repeat(self, label: str, name: str, since: float = 0.0) -> list[Reply]:
+        bodies = [b for at, b in self.kept if b["spindle"] == name and at >= since]
+        return [await self._world.ask(label, "POST", "/v1/report", b) for b in bodies]
+
+
+def renews(reply: Reply) -> bool:
+    return reply.status == 200 and "baton" in reply.data
+
+
+def test_late_copies_are_no_sign_of_life_and_get_nothing() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 60.0
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        copies = Copies(world)
+        await world.submit(job(pieces=4))
+        await world.until(lambda: len(world.cloud.starts) == 4)
+        await asyncio.sleep(8)
+        leader = str(world.leader)
+        reign = world.nodes[leader].reign
+        assert reign is not None
+        machine = reign.roster.machines[name]
+        # From a second to several leases late, while it lives: its attempts go on.
+        for reply in await copies.repeat(leader, name):
+            assert not renews(reply) and reply.data["orders"] == []
+        assert len(machine.attempts) == 4
+        # It dies. Copies through any node don't put off the proof by its lease.
+        world.cloud.take(name)
+        died = world.now()
+        for _ in range(30):
+            for label in LABELS:
+                for reply in await copies.repeat(label, name, died - 9):
+                    assert not renews(reply)
+            await asyncio.sleep(1)
+        assert not machine.attempts, "proven gone by its lease"
+        assert machine.heard_at is not None and machine.heard_at <= died
+        again = [at for at, _, _ in world.cloud.starts[4:]]
+        assert len(again) == 4 and max(again) < died + 30
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_copies_from_earlier_sessions_and_terms_change_nothing() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 200.0
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        copies = Copies(world)
+        await world.submit(job(pieces=2))
+        await world.until(lambda: len(world.cloud.starts) == 2)
+        await asyncio.sleep(3)
+        first = world.now()
+        world.cut_off(name)
+        await asyncio.sleep(15)
+        world.wire.filters[:] = world.wire.filters[:1]  # a new session
+        await world.until(lambda: len(world.cloud.starts) == 4, 60)
+        leader = str(world.leader)
+        await asyncio.sleep(3)
+        early = [b for at, b in copies.kept if at <= first]
+        for body in early:
+            assert not renews(await world.ask(leader, "POST", "/v1/report", body))
+        world.kill(leader)
+        await world.until(lambda: world.leader not in (None, leader), 10)
+        for body in early:
+            await world.ask(str(world.leader), "POST", "/v1/report", body)
+        await asyncio.sleep(20)
+        assert len(world.cloud.starts) == 4 and world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_leader_with_its_workers_alone_claims_nothing_and_lets_them_go_in_time() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 60.0
+        await world.up()
+        names = [world.cloud.add() for _ in range(3)]
+        await asyncio.sleep(5)
+        await world.submit(job(pieces=8))
+        await world.until(lambda: len(world.cloud.starts) == 8)
+        old = str(world.leader)
+        others = [n for n in LABELS if n != old]
+
+        def alone(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            ends = {src, dst.split(":")[0]}
+            if old not in ends:
+                return None
+            return "cut" if "state" in ends or "cloud" in ends or ends & set(others) else None
+
+        world.wire.filters.append(alone)
+        await world.until(lambda: any(world.nodes[n].reign for n in others), 10)
+        await asyncio.sleep(4)
+        assert (await world.ask(old, "GET", "/healthz")).status == 503
+        assert (await world.poll(1, old)).status == 503
+        assert (await world.submit(job(2), old)).status == 503
+        assert (await world.poll(1, others[0])).status == 200
+        # Its workers see the new baton, are let go, and lose no lease over it.
+        new = next(world.nodes[n].reign for n in others if world.nodes[n].reign)
+        assert new is not None
+        await world.until(lambda: all(new.roster.machines[n].confirmed for n in names), 10)
+        assert world.nodes[old].reign is None
+        # Whoever comes to the old one now is sent to nobody that may be out of office.
+        stale = world.cloud.workers[names[0]].report()
+        reply = await world.ask(old, "POST", "/v1/report", stale)
+        assert reply.status == 421 and "foreman" not in reply.data
+        await asyncio.sleep(12)
+        assert {w.shift for w in world.cloud.workers.values()} == {1}
+        assert len(world.cloud.starts) == 8 and world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_follower_cut_off_for_long_names_no_leader() -> None:
+    async def story() -> None:
+        world = World()
+        name = world.cloud.add()
+        await world.up()
+        await asyncio.sleep(5)
+        node = next(n for n in LABELS if n != world.leader)
+
+        def alone(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            ends = {src, dst.split(":")[0]}
+            return "cut" if node in ends and ends & {"state", *LABELS} - {node} else None
+
+        world.wire.filters.append(alone)
+        await asyncio.sleep(15)
+        world.kill(str(world.leader))
+        body = world.cloud.workers[name].report()
+        reply = await world.ask(node, "POST", "/v1/report", body)
+        assert (reply.status, reply.data) == (421, {})
+
+    play(story())
+
+
+@pytest.mark.parametrize("after", [0.0, 0.02, 0.2, 0.6, 1.1, 2.4, 2.6])
+def test_processes_back_at_once_in_the_middle_of_an_election(after: float) -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 25.0
+        await world.up()
+        await world.submit(job(pieces=6))
+        await world.until(lambda: len(world.cloud.starts) == 6)
+        first = str(world.leader)
+        carried_out: list[Any] = []
+
+        def note(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            if path in ("/multi", "/hosts"):
+                carried_out.append((dst, method, path, body))
+            return None
+
+        world.wire.filters.append(note)
+        held = len(world.wire.held)
+
+        def hold(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            puts = [op.get("set", "") for op in (body or {}).get("apply", [])]
+            return "hold" if any(key.endswith("/leader") for key in puts) else None
+
+        # Its own election's write stays on the way while it is restarted; then another's.
+        world.wire.filters.append(hold)
+        world.kill(first)
+        await asyncio.sleep(0.3)
+        world.start(first)
+        await asyncio.sleep(after)
+        for label in list(LABELS):
+            world.kill(label)
+            await asyncio.sleep(0.1)
+            world.start(label)
+            await asyncio.sleep(0.05)
+        world.wire.filters.remove(hold)
+        assert len(world.wire.held) > held or after < 0.2
+        for dst, method, path, body in world.wire.held:
+            await world.wire.hosts[dst](method, path, body)
+        await world.until(lambda: world.leader, 10)
+        await world.finish(1, 60)
+        # Repeats of what was carried out, all of it, change nothing.
+        hosts, keys = set(world.cloud.hosts), dict(world.state.keys)
+        for dst, method, path, body in carried_out:
+            await world.wire.hosts[dst](method, path, body)
+        assert set(world.cloud.hosts) == hosts
+        changed = {k for k in keys if world.state.keys.get(k, (0, 0))[:2] != keys[k][:2]}
+        assert changed == set()
+        assert len(world.cloud.starts) == 6 and world.cloud.broken == []
+        leaders = [n for n, c in world.nodes.items() if c.reign is not None]
+        assert len(leaders) == 1
+
+    play(story())
+
+
+def test_after_all_troubles_every_job_is_answered_for_on_every_node() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.capacity = 2
+        world.cloud.run_s = lambda task: 20.0
+        await world.up()
+        accepted: set[int] = set()
+
+        async def user(number: int) -> None:
+            for _ in range(20):
+                reply = await world.submit(job(number, pieces=2), LABELS[number % 3])
+                if reply.status in (200, 201):
+                    accepted.add(number)
+                    return
+                await asyncio.sleep(2.0)
+
+        users = [asyncio.create_task(user(n)) for n in range(1, 151)]
+        await asyncio.sleep(1.0)
+        world.state.out = True
+        await asyncio.sleep(8)
+        for label in LABELS:
+            world.kill(label)
+        await asyncio.sleep(2)
+        world.start()
+        await asyncio.sleep(4)
+        world.state.end_outage()
+        over = world.now()
+        await asyncio.gather(*users)
+        assert len(accepted) == 150
+        for label in LABELS:
+            for number in sorted(accepted):
+                began = world.now()
+                reply = await world.poll(number, label)
+                assert reply.status == 200 and world.now() - began < 2.0
+        assert world.now() - over < 75 and world.cloud.broken == []
+
+    play(story())
+
+
+def test_the_largest_jobs_begin_while_urgent_work_keeps_arriving() -> None:
+    async def story() -> None:
+        world = World({"begin_s": 60})
+        world.cloud.capacity = 2
+        world.cloud.run_s = lambda task: 15.0
+        await world.up()
+        for yard in ("a", "b"):
+            world.cloud.add(yard)
+        await asyncio.sleep(5)
+        number = 10
+
+        async def rush() -> None:
+            nonlocal number
+            while True:
+                number += 1
+                await world.submit(job(number, rank="high", crew="red", pieces=8, expectS=15.0))
+                await asyncio.sleep(10)
+
+        flood = asyncio.create_task(rush())
+        await asyncio.sleep(15)
+        began = world.now()
+        await world.submit(job(1, pieces=40, vcpus=8.0, crew="blue", expectS=15.0))
+        await world.submit(job(2, pieces=1, crew="blue", rank="best_effort"))
+        for wanted in ("job-000001/0", "job-000002/0"):
+            await world.until(lambda w=wanted: any(n == w for _, n, _ in world.cloud.starts), 240)
+        assert world.now() - began < 240
+        # One task goes before rank, not the whole job: the urgent work went on.
+        since = [name for at, name, _ in world.cloud.starts if at > began]
+        assert sum(n.startswith("job-000001/") for n in since) <= 3
+        assert len(since) > 30
+        flood.cancel()
+
+    play(story())
