--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -16,6 +16,7 @@
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.jobs.writer import Writer
 from spoolcourse.control.leadership.election import Leadership, Office
+from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud
 from spoolcourse.control.machines.keeper import Keeper, Kind
 from spoolcourse.control.machines.planner import Offer, plan_hires, top_up
@@ -48,7 +49,9 @@
         policy_source: PolicySource,
         builds: Callable[[], dict[str, Build]],
         wall: Callable[[], float],
+        load: Load,
     ) -> None:
+        self._load = load
         self._office = office
         self._leadership = leadership
         self._mirror = mirror
@@ -252,7 +255,8 @@
             return Reply(421, {})  # the worker goes on to the next node
         if not self.ready.is_set():
             return Reply(503, {"error": "taking over"})
-        orders = self.roster.accept(report)
+        with self._load.spent("report"):
+            orders = self.roster.accept(report)
         if direct and orders is not None:
             self._heard_direct = self._clock()
         if orders is None:
@@ -271,7 +275,8 @@
             self._wake.clear()
             if self._may_start():
                 began = time.process_time()
-                self._run_pass()
+                with self._load.spent("pass"):
+                    self._run_pass()
                 self.pass_cost_s = time.process_time() - began
             # Rounds widen with the load, by the policy: what changes meanwhile is decided
             # together in the next one.
@@ -297,10 +302,12 @@
         builds = self._builds()
         if not builds:
             return
-        snapshot = self._surveyor.take(now, builds)
+        with self._load.spent("snapshot"):
+            snapshot = self._surveyor.take(now, builds)
         held = sum(w.record.sub.vcpus * len(w.attempts) for w in self.works.jobs.values())
         room = [team.cpus for team in snapshot.teams]
-        plan = place(snapshot)
+        with self._load.spent("place"):
+            plan = place(snapshot)
         self.passes += 1
         self._why = {self._surveyor.works[i].id: why for i, why in plan.why.items()}
         missing = sum(snapshot.jobs[i].cpus * count for i, count in plan.unplaced.items())
@@ -318,7 +325,8 @@
                 attempt = self.works.assign(work, piece, machine.id, number, now)
                 self.roster.link(attempt)
             log.debug("%s: %d pieces to %s", work.id, len(chosen), machine.id)
-        self._stop_for_claims(snapshot, plan)
+        with self._load.spent("stop"):
+            self._stop_for_claims(snapshot, plan)
         self._plan_machines(snapshot, plan, room, now, builds)
 
     def _stop_for_claims(self, snapshot: Snapshot, plan: Plan) -> None:
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -17,6 +17,7 @@
 from spoolcourse.control.intake.api import PATH, Intake, later
 from spoolcourse.control.jobs.book import Book
 from spoolcourse.control.leadership.election import Leadership, Office
+from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
 from spoolcourse.control.net import Net, NetError, Reply, Request
 from spoolcourse.control.reign import Reign
@@ -69,6 +70,7 @@
         )
         self.relay = Relay(net, settings.label, settings.seeds, params.workers.report_s)
         self.reign: Reign | None = None
+        self.load = Load()
         self.mirror.listen(self._on_change)
         self._tasks: list[asyncio.Task[None]] = []
         self.ready = False
@@ -83,6 +85,7 @@
             self.leadership.run,
             self._catalog_loop,
             self._health_loop,
+            self.load.run,
         ):
             self._tasks.append(loop.create_task(self._supervise(run)))
 
@@ -120,6 +123,7 @@
             self._policy,
             lambda: self.builds,
             self._wall,
+            self.load,
         )
         self.reign.start()
 
@@ -239,7 +243,8 @@
     async def _report(self, raw: bytes, hop: bool) -> Reply:
         """A worker's report; `hop`: a follower passes it on, and it goes no further."""
         try:
-            report = parse_report(raw)
+            with self.load.spent("parse"):
+                report = parse_report(raw)
         except Malformed as exc:
             return Reply(400, {"error": str(exc)})
         if self.reign is None:
--- a/spoolcourse/control/view.py
+++ b/spoolcourse/control/view.py
@@ -47,6 +47,8 @@
         "storeRequests": node.client.sent,
         "storeFailures": node.client.failed,
         "storeWrites": node.client.written,
+        "loopLagS": round(node.load.lag_s, 3),
+        "processorShare": round(node.load.share, 3),
     }
     if reign is not None and node.leadership.office is not None:
         found["term"] = node.leadership.office.term
@@ -63,6 +65,8 @@
     "passes": "placement passes of this term",
 }
 _GAUGES = {
+    "loopLagS": "longest time that the event loop was held up, in the last ten seconds",
+    "processorShare": "processor time by time, in the last ten seconds",
     "liveJobs": "jobs that are not final",
     "waitingJobs": "jobs with pieces that wait",
     "waitingPieces": "pieces that wait",
