--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 
 from spoolcourse.control.fleet.roster import Machine, Roster
+from spoolcourse.control.load import SUMMARY_S
 from spoolcourse.control.machines.cloud import DELETE_MAX, Cloud, CloudError, NoCapacity
 from spoolcourse.control.machines.demand import Demand
 from spoolcourse.control.net import Net, NetError
@@ -203,10 +204,39 @@
 
     # -- returning and burying ------------------------------------------------------------
 
+    def _log_fleet(self) -> None:
+        """What is there and what it does, for the operators."""
+        found: dict[tuple[str, bool], list[float]] = {}
+        for m in self._roster.machines.values():
+            row = found.setdefault((m.build or "?", bool(m.loaner)), [0, 0, 0.0, 0.0, 0, 0])
+            row[0] += 1
+            row[1] += m.heard_at is None
+            row[2] += self._cpus(m)
+            row[3] += sum(a.work.record.sub.vcpus for a in m.attempts.values())
+            row[4] += m.surplus
+            row[5] += m.heard_at is not None and not m.attempts
+        for (build, spot), row in sorted(found.items()):
+            log.info(
+                "fleet: %s, spot %s: %d machines, %d booting, %d surplus, %d empty; "
+                "%.0f CPUs, %.0f taken",
+                build,
+                "yes" if spot else "no",
+                row[0],
+                row[1],
+                row[4],
+                row[5],
+                row[2],
+                row[3],
+            )
+
     async def return_loop(self) -> None:
+        logged_at = float("-inf")
         while True:
             await asyncio.sleep(1.0)
             self._roster.expire()
+            if self._clock() - logged_at > SUMMARY_S:
+                logged_at = self._clock()
+                self._log_fleet()
             names = self.to_delete()
             if not names:
                 continue
