--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, replace
 
-from spoolcourse.control.placement.model import Job, Node, fit
+from spoolcourse.control.placement.model import EPSILON, Job, Node, fit
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +41,7 @@
     for node in nodes:
         if count <= 0:
             break
-        if _allowed(job, node):
+        if node.cpus + EPSILON >= job.cpus and _allowed(job, node):
             taken = min(count, node.fit(job))
             node.use(job, taken)
             count -= taken
--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -55,6 +55,21 @@
         self._closed_zones: set[int] = set()
         for node in snapshot.nodes:
             self._fetches[node.zone] += len(node.pulling)
+        # Only machines with room for the smallest task are looked at: with a backlog
+        # nearly all are full, and a pass must not cost fleet times backlog.
+        waiting = [job for job in snapshot.jobs if job.pending > 0]
+        self._least_cpus = min((job.cpus for job in waiting), default=0.0)
+        self._least_memory = min((job.memory for job in waiting), default=0.0)
+        self._open = [
+            number
+            for number, node in enumerate(snapshot.nodes)
+            if node.ready_at <= snapshot.now and self._roomy(node)
+        ]
+
+    def _roomy(self, node: Node) -> bool:
+        return (
+            node.cpus + EPSILON >= self._least_cpus and node.memory + EPSILON >= self._least_memory
+        )
 
     def run(self) -> Plan:
         for index, job in enumerate(self.s.jobs):
@@ -113,12 +128,11 @@
         zones = self._zones(job)
         choices: list[tuple[int, float, float, int]] = []
         fetch_blocked = False
-        for number, node in enumerate(self.s.nodes):
-            if node.ready_at > self.s.now or node.zone not in zones:
-                continue
-            if not self._suits(job, number, node):
+        for number in self._open:
+            node = self.s.nodes[number]
+            if node.cpus + EPSILON < job.cpus or node.zone not in zones:
                 continue
-            if node.fit(job) < 1:
+            if not self._suits(job, number, node) or node.fit(job) < 1:
                 continue
             if not self._may_fetch(job, node):
                 fetch_blocked = True
@@ -148,6 +162,8 @@
                 break
             if delay > 0.0:
                 placed += self._put(index, job, number, wanted - placed)
+        if placed:
+            self._open = [n for n in self._open if self._roomy(self.s.nodes[n])]
         if fetch_blocked and placed < wanted:
             self.plan.why[index] = "image fetch"
             if self.plan.head is None and self.s.zone_fetches < 1:
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from dataclasses import dataclass, field
 
 EPSILON = 1e-6
@@ -11,11 +10,14 @@
 
 def fit(cpus: float, gpus: float, memory: float, job: Job) -> int:
     """How many tasks of the job go into these resources."""
-    count = math.inf
-    for free, need in ((cpus, job.cpus), (gpus, job.gpus), (memory, job.memory)):
-        if need > 0:
-            count = min(count, math.floor((free + EPSILON) / need))
-    return int(max(0, min(count, PLENTY)))
+    count: float = PLENTY
+    if job.cpus > 0:
+        count = min(count, (cpus + EPSILON) // job.cpus)
+    if job.memory > 0:
+        count = min(count, (memory + EPSILON) // job.memory)
+    if job.gpus > 0:
+        count = min(count, (gpus + EPSILON) // job.gpus)
+    return int(count) if count > 0 else 0
 
 
 @dataclass(slots=True, order=True)
--- a/spoolcourse/control/placement/preempt.py
+++ b/spoolcourse/control/placement/preempt.py
@@ -8,7 +8,15 @@
 
 from __future__ import annotations
 
-from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot, fit
+from spoolcourse.control.placement.model import (
+    EPSILON,
+    Job,
+    Node,
+    Plan,
+    RunningTask,
+    Snapshot,
+    fit,
+)
 
 
 def _may_stop(job: Job, task: RunningTask, over: list[float]) -> bool:
@@ -32,37 +40,44 @@
     """References of the tasks to stop. Uses up the snapshot further.
 
     Those that lose the least work come first; one that is about to end anyway is waited
-    for. What is being stopped already counts as room.
+    for. What is being stopped already counts as room. The tasks are put in order once for
+    all claims.
     """
     chosen: list[int] = []
     over = [team.over for team in snapshot.teams]
-    for index, missing in plan.unplaced.items():
+    claims = [(i, n) for i, n in plan.unplaced.items() if snapshot.jobs[i].claim]
+    if not claims:
+        return chosen
+    highest = min(snapshot.jobs[index].rank for index, _ in claims)
+    victims = sorted(
+        (task.lost / max(task.cpus, 0.1), number, task)
+        for number, node in enumerate(snapshot.nodes)
+        for task in node.tasks
+        if task.rank >= highest and not task.stopping and task.end > snapshot.now + patience_s
+    )
+    lowest = max((task.rank for *_, task in victims), default=-1)
+    for index, missing in claims:
         job = snapshot.jobs[index]
-        if not job.claim:
-            continue
-        nodes = [
-            (number, node)
-            for number, node in enumerate(snapshot.nodes)
-            if _node_suits(job, number, node, snapshot.now)
-        ]
-        for _, node in nodes:
-            if missing > 0:
+        for number, node in enumerate(snapshot.nodes):
+            if missing <= 0:
+                break
+            if node.cpus + node.freed[0] + EPSILON >= job.cpus and _node_suits(
+                job, number, node, snapshot.now
+            ):
                 missing -= _take(job, node, missing)
-        victims = sorted(
-            (task.lost / max(task.cpus, 0.1), number, task)
-            for number, node in nodes
-            for task in node.tasks
-            if not task.stopping
-            and task.end > snapshot.now + patience_s
-            and _may_stop(job, task, over)
-        )
+        if missing <= 0 or lowest < job.rank or (lowest == job.rank and not job.guaranteed):
+            continue
         by_node: dict[int, list[RunningTask]] = {}
         for _, number, task in victims:
             if missing <= 0:
                 break
-            if not _may_stop(job, task, over):
-                continue
             node = snapshot.nodes[number]
+            if (
+                task.stopping
+                or not _may_stop(job, task, over)
+                or not _node_suits(job, number, node, snapshot.now)
+            ):
+                continue
             group = by_node.setdefault(number, [])
             group.append(task)
             room = (
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -4,6 +4,7 @@
 
 import math
 import re
+from functools import lru_cache
 from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
@@ -165,6 +166,7 @@
     return f"{job}/{index}"
 
 
+@lru_cache(maxsize=65_536)  # every report names the same pieces again
 def split_piece(name: str) -> tuple[str, int]:
     job, slash, index = name.partition("/")
     if not slash or not JOB_ID.fullmatch(job) or not index.isascii() or not index.isdigit():
@@ -173,7 +175,13 @@
 
 
 def parse_report(raw: bytes) -> Report:
-    report = parse(decode(raw), Report)
+    """Reports are by far the most frequent message: they are checked in one go."""
+    try:
+        report = parse(orjson.loads(raw), Report)
+    except orjson.JSONDecodeError as exc:
+        raise Malformed(f"not JSON: {exc}") from exc
+    if report.recallS is not None and not math.isfinite(report.recallS):
+        raise Malformed("recallS: a number is not finite")
     for piece in report.pieces:
         split_piece(piece.piece)
         if piece.stage == "ended" and not piece.cause:
