--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -32,10 +32,9 @@
             while True:
                 await self.wake.wait()
                 self.wake.clear()
-                for machine in list(self._roster.machines.values()):
-                    if machine.id not in self._busy and self._roster.has_errands(machine):
-                        task = asyncio.get_running_loop().create_task(self._send(machine))
-                        self._busy[machine.id] = task
+                for machine in self._roster.due(self._busy):
+                    task = asyncio.get_running_loop().create_task(self._send(machine))
+                    self._busy[machine.id] = task
         finally:
             for task in self._busy.values():
                 task.cancel()
@@ -62,4 +61,5 @@
                 self._roster.observe(report)
         finally:
             self._busy.pop(machine.id, None)
-            self.wake.set()
+            if machine.id in self._roster.errands:
+                self.wake.set()
--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -10,7 +10,7 @@
 
 import logging
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Container
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -95,6 +95,7 @@
         self._on_room = on_room
         self.machines: dict[str, Machine] = {}
         self.buried: OrderedDict[str, None] = OrderedDict()  # names never come back
+        self.errands: set[str] = set()  # machines that may have starts or halts to be sent
         self.disk_gb: Callable[[str], float] = lambda build: 0.0
 
     def machine(self, name: str) -> Machine:
@@ -107,6 +108,11 @@
         machine = self.machine(attempt.machine)
         machine.attempts[attempt.work.id, attempt.piece] = attempt
         machine.idle_since = None
+        self.errands.add(machine.id)
+
+    def halt(self, attempt: Attempt) -> None:
+        attempt.halting = True
+        self.errands.add(attempt.machine)
 
     def drop(self, attempt: Attempt) -> None:
         machine = self.machines.get(attempt.machine)
@@ -321,7 +327,7 @@
                     self.works.complete(work, piece)
                     other = work.attempts.get(piece)
                     if other is not None:
-                        other.halting = True
+                        self.halt(other)
                 return False
             if piece not in work.attempts and not work.is_done(piece) and not work.record.aborted:
                 # It runs and nobody else does: keep it.
@@ -367,22 +373,28 @@
                     orders.append(start_order(attempt))
         return orders[:ORDERS_MAX]
 
-    def has_fresh_starts(self, machine: Machine) -> bool:
-        return (
-            self._may_start()
-            and machine.placeable
-            and bool(machine.address)
-            and any(self._fresh(a) for a in machine.attempts.values())
-        )
-
-    def has_errands(self, machine: Machine) -> bool:
-        if machine.shut_until > self._clock():
-            return False
-        return self.has_fresh_starts(machine) or (
-            machine.confirmed
-            and bool(machine.address)
-            and any(map(_to_halt, machine.attempts.values()))
-        )
+    def due(self, busy: Container[str]) -> list[Machine]:
+        """Machines that something can be sent to now. What may become due later stays on
+        the list of errands; the fleet as a whole is never gone through."""
+        now, may_start = self._clock(), self._may_start()
+        found = []
+        for name in list(self.errands):
+            machine = self.machines.get(name)
+            attempts = machine.attempts.values() if machine is not None else ()
+            if machine is None or not any(_to_halt(a) or _to_start(a) for a in attempts):
+                self.errands.discard(name)
+            elif (
+                name not in busy
+                and machine.address
+                and machine.confirmed
+                and machine.shut_until <= now
+                and (
+                    any(map(_to_halt, attempts))
+                    or (may_start and machine.placeable and any(map(self._fresh, attempts)))
+                )
+            ):
+                found.append(machine)
+        return found
 
     def take_halts(self, machine: Machine) -> list[dict[str, Any]]:
         """Halts to be sent to `/orders`; they name an attempt, so late ones do no harm."""
@@ -396,6 +408,8 @@
 
     def take_fresh_starts(self, machine: Machine) -> list[Attempt]:
         """Starts to be sent to `/orders`; from here on they may arrive at any time."""
+        if not (self._may_start() and machine.placeable):
+            return []
         fresh = [a for a in machine.attempts.values() if self._fresh(a)][:ORDERS_MAX]
         for attempt in fresh:
             attempt.direct = True
@@ -403,7 +417,7 @@
         return fresh
 
     def _fresh(self, attempt: Attempt) -> bool:
-        return attempt.stage == "assigned" and not attempt.direct and self._startable(attempt)
+        return _to_start(attempt) and self._startable(attempt)
 
     @staticmethod
     def _startable(attempt: Attempt) -> bool:
@@ -441,6 +455,11 @@
     return attempt.halting and not attempt.halt_sent and attempt.stage in ("pulling", "running")
 
 
+def _to_start(attempt: Attempt) -> bool:
+    """Not sent to `/orders` yet; perhaps not saved yet either."""
+    return attempt.stage == "assigned" and not attempt.direct
+
+
 def _halt_order(name: str, number: int, grace: float) -> dict[str, Any]:
     return {"verb": "halt", "piece": name, "try": number, "windDownS": grace}
 
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -336,7 +336,7 @@
             if attempt.never_sent:
                 self.roster.drop(attempt)
             else:
-                attempt.halting = True
+                self.roster.halt(attempt)
                 self.courier.wake.set()
 
     def _plan_machines(
@@ -411,7 +411,9 @@
             return
         sub = attempt.work.record.sub
         if sub.markEveryS > 0:
-            attempt.halting = left < sub.markCostS + 2 * self._params.workers.report_s + 1.0
-            return
-        elapsed = now - attempt.since if attempt.stage == "running" else 0.0
-        attempt.halting = self._surveyor.estimate(attempt.work) - elapsed > 1.5 * left
+            late = left < sub.markCostS + 2 * self._params.workers.report_s + 1.0
+        else:
+            elapsed = now - attempt.since if attempt.stage == "running" else 0.0
+            late = self._surveyor.estimate(attempt.work) - elapsed > 1.5 * left
+        if late:
+            self.roster.halt(attempt)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -208,7 +208,7 @@
     attempt = crew.assign()
     machine = crew.roster.machines["m-1"]
     assert crew.roster.take_fresh_starts(machine) == [attempt]
-    assert not crew.roster.has_fresh_starts(machine), "sent that way once only"
+    assert crew.roster.due(()) == [], "sent that way once only"
     crew.work.record.aborted_at = 100.0
     crew.report()
     crew.report()
