Writes that hold back starts go first, by rank; results take what is to spare

Cause: the leader's writes queued in the order in which things changed, so that starts of urgent tasks stood behind ends of others within 10 to 15 writes a second. The workers keep results until they are durable.

--- a/spoolcourse/control/jobs/book.py
+++ b/spoolcourse/control/jobs/book.py
@@ -5,7 +5,7 @@
 from collections import OrderedDict
 from typing import Any
 
-from spoolcourse.control.jobs.records import JobRecord, Progress, chunk_pieces
+from spoolcourse.control.jobs.records import JobRecord, chunk_pieces
 from spoolcourse.control.store.client import Put, StoreClient, Unclear
 from spoolcourse.control.store.keys import (
     FINAL,
@@ -48,11 +48,9 @@
                     if not chunks:
                         del self.counts[job]
             else:
-                progress = Progress.from_value(value)
-                self.counts.setdefault(job, {})[chunk] = (
-                    progress.done.bit_count(),
-                    len(progress.held),
-                )
+                # All nodes see every write of progress: it is not unpacked further here.
+                done = int(value["done"], 16).bit_count()
+                self.counts.setdefault(job, {})[chunk] = (done, len(value["held"]))
         elif key.startswith(FINAL) and value is not None:
             self.remember_final(key[len(FINAL) :], value)
 
--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -122,6 +122,9 @@
     def __init__(self) -> None:
         self.jobs: dict[str, Work] = {}
         self.dirty: dict[tuple[str, int], Chunk] = {}
+        # Those of the dirty ones that hold back starts: they are written first. Results
+        # can wait, for the workers keep them until they are durable.
+        self.starting: dict[tuple[str, int], Chunk] = {}
         self.finished: dict[str, Work] = {}
         self.on_dirty: Callable[[], None] = lambda: None
 
@@ -131,11 +134,17 @@
         self.on_dirty()
         return chunk.version
 
+    def forget(self, job: str, index: int) -> None:
+        """The chunk, as it is now, needs no more writing."""
+        self.dirty.pop((job, index), None)
+        self.starting.pop((job, index), None)
+
     def assign(self, work: Work, piece: int, machine: str, number: int, now: float) -> Attempt:
         if piece in work.attempts or work.is_done(piece) or work.record.aborted:
             raise ValueError(f"{work.id}/{piece} is not free to start")
         chunk = work.chunk(piece)
         chunk.progress.held[piece] = (machine, number)
+        self.starting[work.id, chunk.index] = chunk
         attempt = Attempt(work, piece, number, machine, self.touch(work, chunk), now)
         work.attempts[piece] = attempt
         work.requeued.discard(piece)
@@ -194,7 +203,7 @@
         self.jobs.pop(work.id, None)
         self.finished.pop(work.id, None)
         for index in work.chunks:
-            self.dirty.pop((work.id, index), None)
+            self.forget(work.id, index)
 
     def restore(
         self, record: JobRecord, now: float, saved: dict[int, tuple[Progress, int]]
--- a/spoolcourse/control/jobs/writer.py
+++ b/spoolcourse/control/jobs/writer.py
@@ -20,9 +20,11 @@
 from spoolcourse.control.store.client import Delete, Outcome, Put, Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import TERM, final_key, job_key, progress_key
 from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.wire.messages import RANKS
 
 log = logging.getLogger(__name__)
 
+PAUSE_S = 0.1  # between looks whether there is budget to spare
 TXN_BYTES = 48 * 1024  # of 64 KiB: the rest is for conditions and spelling
 
 
@@ -52,8 +54,10 @@
             self._wake.clear()
             try:
                 while self._works.dirty or self._works.finished:
-                    await self._finish_some()
-                    await self._save_some()
+                    await self._save_starts()
+                    await self._finish_one()
+                    if not self._works.starting and not self._works.finished:
+                        await self._save_results()
                     delay = 0.1
             except (Refused, Unclear) as exc:
                 log.debug("write: %s", exc)
@@ -61,15 +65,36 @@
                 await asyncio.sleep(delay * random.uniform(0.5, 1.0))
                 delay = min(delay * 2, 1.0)
 
-    async def _save_some(self) -> None:
+    async def _save_starts(self) -> None:
+        """What holds back starts, by rank: people wait for it."""
+        jobs = self._works.jobs
+        keys = [key for key in self._works.starting if key[0] in jobs]
+        await self._save(sorted(keys, key=lambda key: RANKS.index(jobs[key[0]].record.sub.rank)))
+
+    async def _save_results(self) -> None:
+        """Results and ends, which nobody waits for: the workers keep them meanwhile. They
+        take what is to spare, or starts would queue for the budget behind them."""
+        while self._works.dirty and not self._client.writes_to_spare():
+            if self._works.starting or self._works.finished:
+                return
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(PAUSE_S):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+        await self._save(list(self._works.dirty))
+
+    async def _save(self, keys: list[tuple[str, int]]) -> None:
         conditions = {TERM: self._office.stamp}
         ops: list[Put | Delete] = []
         taken: list[tuple[Work, Chunk, int, Put]] = []
         size = 0
-        for (job, index), chunk in list(self._works.dirty.items()):
+        for job, index in keys:
             work = self._works.jobs.get(job)
-            if work is None or job in self._works.finished:
-                del self._works.dirty[job, index]
+            chunk = self._works.dirty.get((job, index))
+            if work is None or chunk is None or job in self._works.finished:
+                self._works.forget(job, index)
                 continue
             value = chunk.progress.value()
             size += len(orjson.dumps(value)) + 300
@@ -82,7 +107,20 @@
             taken.append((work, chunk, chunk.version, put))
         if not ops:
             return
-        outcome = await self._commit(conditions, ops)
+        # Starts that are decided while this is on its way put their chunk back.
+        starting = self._works.starting
+        held_back = {
+            (work.id, chunk.index): chunk
+            for work, chunk, *_ in taken
+            if starting.pop((work.id, chunk.index), None) is not None
+        }
+        written = False
+        try:
+            outcome = await self._commit(conditions, ops)
+            written = outcome.ok
+        finally:
+            if not written:
+                starting.update(held_back)
         if not outcome.ok:
             await self._after_conflict(outcome)
             return
@@ -90,11 +128,11 @@
             chunk.stamp = outcome.ledger
             chunk.saved = version
             if chunk.version == version:
-                self._works.dirty.pop((work.id, chunk.index), None)
+                self._works.forget(work.id, chunk.index)
             self._mirror.apply(put.key, put.value, outcome.ledger)
         self._on_saved()
 
-    async def _finish_some(self) -> None:
+    async def _finish_one(self) -> None:
         for work in list(self._works.finished.values()):
             if not work.finished or self._works.jobs.get(work.id) is not work:
                 self._works.finished.pop(work.id, None)
@@ -117,7 +155,7 @@
             outcome = await self._commit(conditions, ops)
             if not outcome.ok:
                 await self._after_conflict(outcome)
-                continue
+                return
             self._works.remove(work)
             self._mirror.apply(final_key(work.id), value, outcome.ledger)
             self._mirror.apply(key, None, outcome.ledger)
@@ -126,6 +164,7 @@
             log.info("%s is %s", work.id, stage)
             self._on_saved()
             await self.sweep([progress_key(work.id, c.index) for c in saved[room:]])
+            return
 
     async def sweep(self, keys: list[str]) -> None:
         """Delete progress of jobs that are over."""
@@ -173,5 +212,5 @@
                     chunk.stamp = entry.stamp
                     if entry.value == chunk.progress.value():
                         chunk.saved = chunk.version
-                        self._works.dirty.pop((job, chunk.index), None)
+                        self._works.forget(job, chunk.index)
                         self._on_saved()
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -8,14 +8,11 @@
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
 from spoolcourse.policy.keys import Policy
-from spoolcourse.wire.messages import Build, fits
+from spoolcourse.wire.messages import RANKS, Build, fits
 from spoolcourse.wire.settings import Params
 
 log = logging.getLogger(__name__)
 
-# The first exception to the arrival order (docs/design.md): rank goes before arrival.
-RANKS = ("prod", "high", "standard", "best_effort")
-
 
 class Index:
     """Names to dense numbers."""
@@ -102,8 +99,9 @@
             key=lambda w: w.order,
         )
         self._within = self._guarantees()
-        # Rank goes first, then work within its team's guarantee, then arrival. Stopping
-        # follows the same order: otherwise two claims would stop each other in turn.
+        # The first exception to the arrival order (docs/design.md): rank goes first, then
+        # work within its team's guarantee, then arrival. Stopping follows the same order:
+        # otherwise two claims would stop each other in turn.
         self.works.sort(
             key=lambda w: (
                 not self._unbegun(w, now),
--- a/spoolcourse/control/store/budget.py
+++ b/spoolcourse/control/store/budget.py
@@ -46,6 +46,11 @@
                 self._level += amount
                 raise
 
+    def spare(self) -> bool:
+        """At least half of a burst is left, for what is more urgent."""
+        self._refill(asyncio.get_running_loop().time())
+        return self._level >= self.burst / 2
+
     def drain(self) -> None:
         """The service said 429: whatever we thought was left is not."""
         self._refill(asyncio.get_running_loop().time())
--- a/spoolcourse/control/store/client.py
+++ b/spoolcourse/control/store/client.py
@@ -132,6 +132,9 @@
         """Puts and deletes in one transaction: no more than can be had at once."""
         return max(3, min(self.limits.txn_ops, int(self._writes.burst)))
 
+    def writes_to_spare(self) -> bool:
+        return self._writes.spare()
+
     @staticmethod
     async def _pay(bucket: Bucket, amount: int, urgent: bool) -> None:
         try:
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -12,6 +12,7 @@
 
 T = TypeVar("T")
 
+RANKS = ("prod", "high", "standard", "best_effort")  # the highest first
 BODY_LIMIT = 64 * 1024
 JOB_ID = re.compile(r"job-[0-9]{6,12}")
 
--- /dev/null
+++ b/tests/test_writer.py
@@ -0,0 +1,62 @@
+"""What is written first when more waits than the budget allows."""
+
+from __future__ import annotations
+
+import asyncio
+
+from spoolcourse.control.jobs.records import JobRecord
+from spoolcourse.control.jobs.works import Work, Works
+from spoolcourse.control.jobs.writer import Writer
+from spoolcourse.control.leadership.election import Office
+from spoolcourse.control.store.client import Put, StoreClient
+from spoolcourse.control.store.keys import PREFIX, TERM, job_key
+from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.wire.messages import Submission, parse
+from spoolcourse.wire.settings import State
+from tests.fakes.clock import play
+from tests.fakes.net import FakeWire
+from tests.fakes.state import FakeState
+from tests.fakes.world import job
+
+
+def test_starts_are_written_by_rank_and_before_results() -> None:
+    async def story() -> None:
+        state, wire, works = FakeState(), FakeWire(), Works()
+        wire.hosts["state:1"] = state.serve
+        limits = State(rps=200.0, write_rps=6.0, value_kb=8.0, txn_ops=12)
+        client = StoreClient(wire.end_of("n0"), "state:1", limits, nodes=1)
+        client.set_leader(True)
+        mirror = Mirror(client, PREFIX)
+        await client.txn({}, [Put(TERM, {"term": 1})], urgent=True)
+        office = Office(1, state.ledger, 0)
+        jobs: list[Work] = []
+        for number, rank in enumerate(["standard"] * 20 + ["best_effort", "high"], 1):
+            body = job(number, rank=rank)
+            await client.txn({}, [Put(job_key(body["id"]), body)], urgent=True)
+            record = JobRecord(parse(body, Submission), 1.0, 170, None, state.ledger)
+            jobs.append(works.add(record, 0.0))
+        await asyncio.sleep(10)
+        await mirror.load()
+        writer = Writer(client, mirror, works, office, lambda why: None, lambda: None)
+        running = asyncio.create_task(writer.run())
+        for work in jobs[:20]:
+            works.complete(work, 0)
+        low = works.assign(jobs[20], 0, "m-1", 1, 0.0)
+        high = works.assign(jobs[21], 0, "m-1", 2, 0.0)
+        began = asyncio.get_running_loop().time()
+        while not (low.saved and high.saved):
+            await asyncio.sleep(0.02)
+        assert asyncio.get_running_loop().time() - began < 1.0
+        written = [op["set"] for t in state.transactions[-1:] for op in t["apply"]]
+        assert [key.split("/")[3] for key in written[:2]] == [jobs[21].id, jobs[20].id]
+        # One that comes while results wait for the budget does not wait for them.
+        began = asyncio.get_running_loop().time()
+        late = works.assign(jobs[21], 1, "m-1", 3, 0.0)
+        while not late.saved:
+            await asyncio.sleep(0.02)
+        assert asyncio.get_running_loop().time() - began < 1.0
+        while works.dirty:  # the results follow
+            await asyncio.sleep(0.1)
+        running.cancel()
+
+    play(story())
