Image fetches at once in a zone grow with the machines; what waits, and why, in the log

Cause: 16 fetches a zone were meant for some 20 machines; with 150 to 290 a zone, most waiting urgent tasks wait for one while machines stand idle. Up to 40 machines the budget stays what it was.

--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -65,6 +65,7 @@
         # have them, so they are used, but not returned for being idle.
         self.base: Callable[[], frozenset[str]] = frozenset
         self.on_list: Callable[[list[Host]], Awaitable[None]] | None = None
+        self.on_summary: Callable[[], None] = lambda: None
         # Types that some jobs have no choice but to use are kept, within reason.
         self.is_rare: Callable[[str], bool] = lambda build: False
         self.refusals: dict[Kind, Refusal] = {}
@@ -237,6 +238,7 @@
             if self._clock() - logged_at > SUMMARY_S:
                 logged_at = self._clock()
                 self._log_fleet()
+                self.on_summary()
             names = self.to_delete()
             if not names:
                 continue
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -96,6 +96,7 @@
         self.keeper.is_rare = lambda build: self._surveyor.is_rare(build, self._clock())
         self.keeper.base = self._base
         self.keeper.on_list = self._store_base
+        self.keeper.on_summary = self._log_waiting
         self._client = client
         self._tasks: list[asyncio.Task[None]] = []
         self._why: dict[str, str] = {}
@@ -282,6 +283,15 @@
             # together in the next one.
             await asyncio.sleep(self._policy.pass_gap_s)
 
+    def _log_waiting(self) -> None:
+        """What waits and what for, for the operators."""
+        pieces: dict[tuple[str, str], int] = {}
+        for entry in self.waiting():
+            key = (entry["lane"], entry["why"])
+            pieces[key] = pieces.get(key, 0) + entry["pieces"]
+        for (lane, why), count in sorted(pieces.items()):
+            log.info("waiting: %d pieces of %s for: %s", count, lane, why)
+
     def _refresh_policy(self, snapshot: Snapshot, wanted: float) -> None:
         at_hand = sum(node.size for node in snapshot.nodes)
         self._policy_source.refresh(
--- a/spoolcourse/policy/keys.py
+++ b/spoolcourse/policy/keys.py
@@ -35,7 +35,9 @@
 
 KEYS: dict[str, Key] = {
     "node_fetches": Key("2", 1, 100, "fetches", "image fetches at once on a machine"),
-    "zone_fetches": Key("16", 0, 100_000, "fetches", "image fetches at once in a zone"),
+    "zone_fetches": Key(
+        "max(16, 0.4 * machines)", 0, 100_000, "fetches", "image fetches at once in a zone"
+    ),
     "pass_gap_s": Key(
         "min(2, max(0.1, 4 * pass_cost_s))", 0.01, 10, "s", "shortest time between two passes"
     ),
