--- a/spoolcourse/control/net.py
+++ b/spoolcourse/control/net.py
@@ -7,16 +7,29 @@
 
 import asyncio
 import logging
+import sys
+import urllib.request  # noqa: F401  with `ssl`: what comes below must not leave it without
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
-import aiohttp
 import orjson
-from aiohttp import web
 
 from spoolcourse.wire.messages import BODY_LIMIT
 
+# All interfaces speak plain HTTP. With `ssl`, aiohttp reads the system's certificates when
+# it is imported: a fifth of a controller's start, in which workers' leases may run out.
+_ssl = sys.modules.get("ssl")
+sys.modules["ssl"] = None  # type: ignore[assignment]
+try:
+    import aiohttp
+    from aiohttp import web
+finally:
+    if _ssl is None:
+        del sys.modules["ssl"]
+    else:
+        sys.modules["ssl"] = _ssl
+
 log = logging.getLogger(__name__)
 
 
