--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -217,6 +217,8 @@
             machine.session_at = now
         elif now - machine.session_at > self._margin_s:
             self._hears(machine)  # a session that outlives a lease was answered
+        if machine.heard_at is None:
+            machine.proven_at = now  # it had to boot first: nothing could be proven before
         machine.heard_at = now
         machine.shift, machine.tick = report.shift, report.tick
         machine.build, machine.yard = report.build, report.yard
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -102,6 +102,20 @@
     play(story())
 
 
+def test_a_machine_that_boots_for_long_is_given_the_time_to_see_our_baton() -> None:
+    # Measured: with the time since the rental counted, 88 machines that took longer to boot
+    # than the patience with unproven ones went back at their first report.
+    async def story() -> None:
+        world = World()
+        world.cloud.boot_s = 36.0
+        await world.up()
+        await world.submit(job(pieces=8))
+        await world.finish(1, 90)
+        assert world.cloud.broken == [] and len(world.cloud.starts) == 8
+
+    play(story())
+
+
 class Copies:
     """Keeps what workers report, to bring copies of it late."""
 
