--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -109,6 +109,11 @@
         world = World()
         world.cloud.boot_s = 36.0
         await world.up()
+        world.wire.filters.append(
+            lambda src, dst, method, path, body: (
+                "lose" if src.startswith("m-") and body["tick"] <= 1 else None
+            )
+        )
         await world.submit(job(pieces=8))
         await world.finish(1, 90)
         assert world.cloud.broken == [] and len(world.cloud.starts) == 8
