--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -129,13 +129,17 @@
         if entry is not None and not self._is_former_self(entry.value):
             return
         number = (term.value["term"] if term else 0) + 1
+        # What the number was taken from is what the claim is conditional on. The watch may
+        # bring another's election while the lease is granted: with the stamps of that, this
+        # claim would push it out under the very same number, and two would share a baton.
+        conditions = {LEADER: entry.stamp if entry else 0, TERM: term.stamp if term else 0}
         sent = loop.time()
         lease = await self._client.grant(self._ttl_s)
         tenure = {"term": number, "run": self._run_id}
         claim = tenure | {"label": self._label}
         try:
             outcome = await self._client.txn(
-                {LEADER: self._mirror.stamp(LEADER), TERM: self._mirror.stamp(TERM)},
+                conditions,
                 [Put(LEADER, claim, lease), Put(TERM, tenure)],
                 urgent=True,
             )
--- a/spoolcourse/control/load.py
+++ b/spoolcourse/control/load.py
@@ -15,7 +15,7 @@
 
 log = logging.getLogger(__name__)
 
-TICK_S = 0.25
+TICK_S = 1.0
 SUMMARY_S = 10.0
 
 
