--- a/spoolcourse/control/placement/preempt.py
+++ b/spoolcourse/control/placement/preempt.py
@@ -36,25 +36,18 @@
     )
 
 
-def choose_victims(
-    snapshot: Snapshot, plan: Plan, patience_s: float, soon_s: float = 0.0
-) -> list[int]:
+def choose_victims(snapshot: Snapshot, plan: Plan, patience_s: float) -> list[int]:
     """References of the tasks to stop. Uses up the snapshot further.
 
     Those that lose the least work come first; one that is about to end anyway is waited
-    for. What is being stopped, or is expected to end within `soon_s`, counts as room: in
-    a large fleet many tasks end each second. The tasks are put in order once for all
-    claims.
+    for. What is being stopped already counts as room. The tasks are put in order once for
+    all claims.
     """
     chosen: list[int] = []
     over = [team.over for team in snapshot.teams]
     claims = [(i, n) for i, n in plan.unplaced.items() if snapshot.jobs[i].claim]
     if not claims:
         return chosen
-    for node in snapshot.nodes:
-        for task in node.tasks:
-            if not task.stopping and task.end <= snapshot.now + soon_s:
-                node.free(task)
     highest = min(snapshot.jobs[index].rank for index, _ in claims)
     victims = sorted(
         (task.lost / max(task.cpus, 0.1), number, task)
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -340,9 +340,7 @@
         self._plan_machines(snapshot, plan, room, now, builds)
 
     def _stop_for_claims(self, snapshot: Snapshot, plan: Plan) -> None:
-        for ref in choose_victims(
-            snapshot, plan, self._policy.preempt_patience_s, self._policy.preempt_soon_s
-        ):
+        for ref in choose_victims(snapshot, plan, self._policy.preempt_patience_s):
             attempt = self._surveyor.attempts[ref]
             log.info("%s/%d: stopped to make room", attempt.work.id, attempt.piece)
             if attempt.never_sent:
--- a/spoolcourse/policy/keys.py
+++ b/spoolcourse/policy/keys.py
@@ -59,7 +59,6 @@
     "boot_patience": Key("4", 1, 100, "boots", "a machine that boots longer is deleted"),
     "rare_s": Key("300", 0, 86_400, "s", "a type that some job depends on is spared"),
     "begin_s": Key("90", 1, 86_400, "s", "a job that waits longer has its first task put first"),
-    "preempt_soon_s": Key("1.5", 0, 60, "s", "room that frees up so soon is waited for"),
     "preempt_patience_s": Key("5", 0, 3600, "s", "a task that ends so soon is not stopped"),
 }
 WHOLE = ("node_fetches", "zone_fetches")
@@ -88,7 +87,6 @@
     boot_patience: float = 0.0
     rare_s: float = 0.0
     begin_s: float = 0.0
-    preempt_soon_s: float = 0.0
     preempt_patience_s: float = 0.0
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -133,14 +133,11 @@
 
 
 def stopped(
-    jobs: list[Job],
-    nodes: list[Node],
-    over: tuple[float, float] = (0.0, 0.0),
-    soon_s: float = 0.0,
+    jobs: list[Job], nodes: list[Node], over: tuple[float, float] = (0.0, 0.0)
 ) -> list[int]:
     teams = [Team(1000.0, 0.0, over[0]), Team(1000.0, 0.0, over[1])]
     snapshot = Snapshot(100.0, jobs, nodes, teams, 2, 2, 8)
-    return choose_victims(snapshot, place(snapshot), 5.0, soon_s)
+    return choose_victims(snapshot, place(snapshot), 5.0)
 
 
 def task(ref: int, cpus: float = 4.0, lost: float = 9.0, **fields: object) -> RunningTask:
@@ -172,16 +169,6 @@
     assert stopped([job(2, 2.0, rank=1, claim=True)], [busy]) == []
 
 
-def test_room_that_frees_up_at_once_by_itself_is_waited_for() -> None:
-    def nodes() -> list[Node]:
-        return [node(0.0, tasks=[task(1, end=101.0)]), node(0.0, tasks=[task(2)])]
-
-    claim = {"rank": 1, "claim": True}
-    assert stopped([job(2, 2.0, **claim)], nodes(), soon_s=1.5) == []
-    assert stopped([job(3, 2.0, **claim)], nodes(), soon_s=1.5) == [2], "no more than it holds"
-    assert stopped([job(2, 2.0, **claim)], nodes(), soon_s=0.5) == [2]
-
-
 def test_a_guarantee_takes_back_only_what_another_team_runs_beyond_its_own() -> None:
     def nodes() -> list[Node]:
         return [node(0.0, tasks=[task(1, team=1), task(2, team=1)])]
