--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -141,8 +141,9 @@
             # run empty before them; then a short fetch counts; then the fullest machine,
             # for empty ones can be returned.
             delay = round(self._fetch_s(job, node), 1)
-            # Where the image has to be fetched, the emptiest comes first: see below.
-            free = node.cpus if delay == 0.0 else -node.cpus
+            # Where the image has to be fetched, the emptiest comes first: see below. But what
+            # is left for surplus machines is gathered on few, or none of them runs empty.
+            free = node.cpus if delay == 0.0 or node.surplus else -node.cpus
             group = node.rare + 2 * node.surplus
             if job.claim and delay > 0.0:
                 group += 4  # people wait: an image at hand counts most
@@ -156,7 +157,8 @@
         for _, delay, _, number in choices:
             if placed >= wanted:
                 break
-            placed += self._put(index, job, number, wanted - placed if delay == 0.0 else 1)
+            whole = delay == 0.0 or self.s.nodes[number].surplus
+            placed += self._put(index, job, number, wanted - placed if whole else 1)
         for _, delay, _, number in choices:
             if placed >= wanted:
                 break
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -37,6 +37,19 @@
     assert plan.head == 0 and plan.unplaced[0] == 4
 
 
+def test_what_is_left_for_surplus_machines_is_gathered_on_few() -> None:
+    # Measured: spread over all of them, it kept 120 ordinary machines half used for minutes.
+    def nodes(surplus: bool) -> list[Node]:
+        return [node(8.0 - i, surplus=surplus) for i in range(3)]
+
+    def used(plan: Plan) -> set[int]:
+        return {d.node for d in plan.decisions}
+
+    fetched = job(3, image_gb=1.0)
+    assert used(run([fetched], nodes(False))) == {0, 1, 2}, "fetches run side by side"
+    assert used(run([job(3, image_gb=1.0)], nodes(True))) == {2}, "the fullest"
+
+
 def test_shadow_time_is_when_enough_has_ended() -> None:
     tasks = [RunningTask(120.0, 2.0, 0.0, 1.0), RunningTask(150.0, 4.0, 0.0, 1.0)]
     plan = run([job(1, 8.0)], [node(2.0, tasks=tasks)])
