--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -59,6 +59,9 @@
         self._rare_until: dict[str, float] = {}
         self._boot_s = 0.0
         self._within: set[str] = set()
+        # What a job's tasks have in common, worked out once for all of them: CPUs, GPUs,
+        # memory, rank, team, whether it is within its team's guarantee.
+        self._facts: dict[str, tuple[float, float, float, int, int, bool]] = {}
 
     def _mark_rare(self, now: float, builds: dict[str, Build]) -> None:
         """Machine types that some job of late depends on, while others have a choice."""
@@ -110,6 +113,17 @@
                 w.order,
             )
         )
+        self._facts = {
+            work.id: (
+                work.record.sub.vcpus,
+                work.record.sub.gpus,
+                work.record.sub.memoryGb,
+                RANKS.index(work.record.sub.rank),
+                self.teams.of(work.record.sub.crew),
+                work.id in self._within,
+            )
+            for work in self._works.jobs.values()
+        }
         for work in self._works.jobs.values():
             sub = work.record.sub
             team = room[self.teams.of(sub.crew)]
@@ -210,29 +224,32 @@
             surplus=machine.surplus,
         )
         rate = max(build.pullGbPerS, 1e-3)
-        for attempt in machine.attempts.values():
+        attempts = machine.attempts.values()
+        for attempt in attempts:
+            if attempt.stage in ("running", "flushing"):
+                continue
             sub = attempt.work.record.sub
-            if attempt.stage not in ("running", "flushing") and sub.bundle not in machine.images:
+            if sub.bundle not in machine.images:
                 since = machine.pulling.get(sub.bundle, now)
                 left = max(sub.pullGb - rate * (now - since), 0.1)
                 node.pulling[self._images.of(sub.bundle)] = left
         fetch = sum(node.pulling.values()) / rate
-        for attempt in machine.attempts.values():
-            sub = attempt.work.record.sub
-            node.cpus -= sub.vcpus
-            node.gpus -= sub.gpus
-            node.memory -= sub.memoryGb
+        for attempt in attempts:
+            cpus, gpus, memory, rank, team, safe = self._facts[attempt.work.id]
+            node.cpus -= cpus
+            node.gpus -= gpus
+            node.memory -= memory
             task = RunningTask(
                 self._ends(attempt, now, fetch),
-                sub.vcpus,
-                sub.gpus,
-                sub.memoryGb,
-                ref=len(self.attempts),
-                rank=RANKS.index(sub.rank),
-                team=self.teams.of(sub.crew),
-                lost=self._lost(attempt, now),
-                stopping=attempt.halting,
-                safe=attempt.work.id in self._within,
+                cpus,
+                gpus,
+                memory,
+                len(self.attempts),
+                rank,
+                team,
+                self._lost(attempt, now),
+                attempt.halting,
+                safe,
             )
             if attempt.halting:
                 node.free(task)
