--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -144,9 +144,9 @@
             # Where the image has to be fetched, the emptiest comes first: see below. But what
             # is left for surplus machines is gathered on few, or none of them runs empty.
             free = node.cpus if delay == 0.0 or node.surplus else -node.cpus
-            group = 2 * node.surplus + 8 * node.rare
+            group = node.rare + 2 * node.surplus
             if job.claim and delay > 0.0:
-                group += 4  # people wait: an image at hand counts much
+                group += 4  # people wait: an image at hand counts most
             choices.append((group, delay, free, number))
         choices.sort()
         if job.one_zone and not job.held and choices:
