Machines without answers: only a session that outlives a lease clears the mark; silent ones aren't probed; conflicts last

Read once more: commands that arrive by /orders cleared the mark although they renew no lease, so that pieces went there again and again (story added). A machine proven silent was probed at every list. A final state that goes on conflicting kept the others waiting.

--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -21,7 +21,7 @@
 log = logging.getLogger(__name__)
 
 ORDERS_MAX = 300  # per response, well below 64 KiB
-UNHEEDED_MOST = 3  # answers in a row without effect: later ones will have none either
+UNHEEDED_MOST = 3  # answers without effect within a lease: later ones will have none either
 
 
 @dataclass(slots=True, eq=False)
@@ -41,7 +41,8 @@
     answered_at: float | None = None  # a 200 of ours, which may have renewed its lease
     silent_proof: bool = False  # its lease has run out since our last answer
     session_at: float = 0.0  # when this session was first heard of
-    unheeded: int = 0  # answers with starts in a row that had no effect
+    unheeded: int = 0  # answers that had no effect, of late
+    doubted_at: float = float("-inf")  # the last of them
     deaf_since: float | None = None  # its reports arrive, our answers don't
     proven_at: float = 0.0  # the last report under our baton, or `since`
     listed: str | None = None  # its stage in the cloud's list
@@ -158,20 +159,16 @@
     # -- machines that don't get our answers ------------------------------------------
 
     def _unheeded(self, machine: Machine) -> None:
-        """An answer had no effect. After some in a row, the machine gets no more work, and
+        """An answer had no effect. After some of them the machine gets no more work, and
         what it was to start goes elsewhere once that is proven not to have arrived: those
         pieces would stay bound to it for ever, for its reports go on and it is never silent.
         """
         machine.unheeded += 1
+        machine.doubted_at = self._clock()
         if machine.unheeded >= UNHEEDED_MOST and machine.deaf_since is None:
             log.info("%s: takes no answers", machine.id)
             machine.deaf_since = self._clock()
 
-    @staticmethod
-    def _hears(machine: Machine) -> None:
-        machine.unheeded = 0
-        machine.deaf_since = None
-
     # -- reports ------------------------------------------------------------------
 
     def accept(self, report: Report) -> list[dict[str, Any]] | None:
@@ -202,7 +199,6 @@
         machine = self.machine(report.spindle)
         if (report.shift, report.tick) > (machine.shift, machine.tick):
             self.learn(machine, report)
-            self._hears(machine)
 
     def learn(self, machine: Machine, report: Report) -> None:
         now = self._clock()
@@ -210,14 +206,17 @@
             if (
                 machine.confirmed
                 and machine.answered_at is not None
-                and now - machine.answered_at < self._lease_s / 2
+                and now - machine.answered_at < 0.8 * self._lease_s  # some were on the way for long
             ):
                 self._unheeded(machine)  # its lease ran out although it was answered
             machine.confirmed = False
             machine.kept.clear()
             machine.session_at = now
-        elif now - machine.session_at > self._margin_s:
-            self._hears(machine)  # a session that outlives a lease was answered
+        elif now - max(machine.session_at, machine.doubted_at) > self._margin_s:
+            # The session has outlived a lease since, so answers do arrive. Commands that
+            # arrive by `/orders` are no such proof: they renew nothing.
+            machine.unheeded = 0
+            machine.deaf_since = None
         if machine.heard_at is None:
             machine.proven_at = now  # it had to boot first: nothing could be proven before
         machine.heard_at = now
@@ -248,8 +247,6 @@
             attempt = machine.attempts.get((job, piece))
             if attempt is not None and attempt.number == item.attempt:
                 present.add((job, piece))
-                if attempt.stage == "assigned":
-                    self._hears(machine)
                 self._progress(machine, attempt, item, now)
             elif self._stray(machine, job, piece, item, now):
                 present.add((job, piece))
--- a/spoolcourse/control/jobs/writer.py
+++ b/spoolcourse/control/jobs/writer.py
@@ -154,6 +154,8 @@
             }
             outcome = await self._commit(conditions, ops)
             if not outcome.ok:
+                # The others first: one that goes on conflicting must not keep them waiting.
+                self._works.finished[work.id] = self._works.finished.pop(work.id)
                 await self._after_conflict(outcome)
                 return
             self._works.remove(work)
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -119,6 +119,7 @@
             if h.stage == "running"
             and (m := self._roster.machines.get(h.id)) is not None
             and not m.confirmed
+            and not m.silent_proof  # it has spoken under it, and will come by itself
             and m.address
         ]
         gate = asyncio.Semaphore(8)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -53,6 +53,27 @@
     play(story())
 
 
+def test_a_machine_that_gets_commands_but_no_answers_is_not_tried_for_ever() -> None:
+    # What is started there by `/orders` dies with each lease, for that renews nothing.
+    async def story() -> None:
+        world = World({"silent_leases": 100})
+        world.cloud.run_s = lambda task: 15.0
+        world.cloud.capacity = 2
+        await world.up()
+        name = world.cloud.add()
+        await asyncio.sleep(5)
+        world.wire.filters.append(lambda src, dst, *rest: "lose" if src == name else None)
+        await world.submit(job(pieces=4))
+        await asyncio.sleep(60)
+        before = len(world.cloud.starts)
+        await world.submit(job(2, pieces=4))
+        await world.finish(2, 60)
+        assert all(machine != name for _, _, machine in world.cloud.starts[before:])
+        assert world.cloud.broken == []
+
+    play(story())
+
+
 def test_a_machine_that_gets_answers_again_gets_work_again() -> None:
     async def story() -> None:
         world = World({"silent_leases": 100})
@@ -250,8 +271,8 @@
         await world.up()
         names = [world.cloud.add() for _ in range(3)]
         await asyncio.sleep(5)
-        await world.submit(job(pieces=8))
-        await world.until(lambda: len(world.cloud.starts) == 8)
+        await world.submit(job(pieces=12))
+        await world.until(lambda: len(world.cloud.starts) == 12)
         old = str(world.leader)
         others = [n for n in LABELS if n != old]
 
@@ -279,7 +300,7 @@
         assert reply.status == 421 and "foreman" not in reply.data
         await asyncio.sleep(12)
         assert {w.shift for w in world.cloud.workers.values()} == {1}
-        assert len(world.cloud.starts) == 8 and world.cloud.broken == []
+        assert len(world.cloud.starts) == 12 and world.cloud.broken == []
 
     play(story())
 
