--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -131,6 +131,13 @@
         self.start()
         await self.until(lambda: self.leader and all(c.ready for c in self.nodes.values()), 20)
 
+    async def up_with_machine(self) -> str:
+        """The controllers, and one machine that nobody has asked for, known to them."""
+        await self.up()
+        name = self.cloud.add()
+        await asyncio.sleep(5)
+        return name
+
     async def ask(self, label: str, method: str, path: str, body: Any = None) -> Reply:
         try:
             return await self.wire.call("user", f"{label}:80", method, path, body, 5.0)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -43,7 +43,6 @@
     code = """
 import asyncio
 from spoolcourse.control.net import Reply, listen
-seen = []
 async def handler(request):
     return Reply(200, {})
 async def main():
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -68,9 +68,7 @@
 def test_leader_dies_between_the_write_and_the_start() -> None:
     async def story() -> None:
         world = World()
-        await world.up()
-        world.cloud.add()
-        await asyncio.sleep(5)
+        await world.up_with_machine()
         first = world.leader
         assert first
 
@@ -140,9 +138,7 @@
     async def story() -> None:
         world = World()
         world.cloud.run_s = lambda task: 40.0
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         await world.submit(job(pieces=1))
         await world.until(lambda: len(world.cloud.starts) == 1)
         cut_at = world.now()
@@ -174,9 +170,7 @@
         world = World()
         world.cloud.run_s = lambda task: 500.0
         world.cloud.lease_s = 300.0  # it would go on for long
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         await world.submit(job())
         await world.until(lambda: len(world.cloud.starts) == 4)
         world.cut_off(name)
@@ -193,9 +187,7 @@
     async def story() -> None:
         for wait in (13.0, 13.5, 14.0, 14.5, 15.0, 15.5, 16.0):
             world = World()
-            await world.up()
-            world.cloud.add()
-            await asyncio.sleep(5)
+            await world.up_with_machine()
             await world.submit(job(pieces=1))
             await asyncio.sleep(wait)
             answer = (await world.cancel(1, "n1")).data["stage"]
@@ -399,9 +391,7 @@
     async def story(gap: str) -> list[str]:
         world = World({"pass_gap_s": gap})
         world.cloud.capacity = 1
-        await world.up()
-        world.cloud.add()
-        await asyncio.sleep(5)
+        await world.up_with_machine()
         for number in range(1, 6):
             await world.submit(job(number, pieces=2, vcpus=4.0), LABELS[number % 3])
             await asyncio.sleep(0.05)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -35,9 +35,7 @@
     async def story() -> None:
         world = World()
         world.cloud.capacity = 2
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         world.wire.filters.append(half_open(name))
         await world.submit(job(pieces=4))
         await world.finish(1, 60)
@@ -59,9 +57,7 @@
         world = World({"silent_leases": 100})
         world.cloud.run_s = lambda task: 15.0
         world.cloud.capacity = 2
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         world.wire.filters.append(lambda src, dst, *rest: "lose" if src == name else None)
         await world.submit(job(pieces=4))
         await asyncio.sleep(60)
@@ -78,9 +74,7 @@
     async def story() -> None:
         world = World({"silent_leases": 100})
         world.cloud.capacity = 1
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         world.wire.filters.append(half_open(name))
         await world.submit(job(pieces=4))
         await asyncio.sleep(60)
@@ -98,9 +92,7 @@
     async def story() -> None:
         world = World()
         world.cloud.run_s = lambda task: 30.0
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         await world.submit(job(pieces=4))
         await world.until(lambda: len(world.cloud.starts) == 4)
         world.wire.filters.append(half_open(name))
@@ -117,9 +109,7 @@
         world = World()
         world.cloud.run_s = lambda task: 500.0
         world.cloud.lease_s = 300.0
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         await world.submit(job())
         await world.until(lambda: len(world.cloud.starts) == 4)
         world.wire.filters.append(half_open(name))
@@ -201,9 +191,7 @@
     async def story() -> None:
         world = World()
         world.cloud.run_s = lambda task: 60.0
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         copies = Copies(world)
         await world.submit(job(pieces=4))
         await world.until(lambda: len(world.cloud.starts) == 4)
@@ -237,9 +225,7 @@
     async def story() -> None:
         world = World()
         world.cloud.run_s = lambda task: 200.0
-        await world.up()
-        name = world.cloud.add()
-        await asyncio.sleep(5)
+        name = await world.up_with_machine()
         copies = Copies(world)
         await world.submit(job(pieces=2))
         await world.until(lambda: len(world.cloud.starts) == 2)
