--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -18,6 +18,7 @@
     Node,
     Plan,
     Room,
+    RunningTask,
     Snapshot,
     fit,
 )
@@ -214,31 +215,35 @@
 
     def _protect(self, index: int, job: Job, left: int) -> None:
         """Work out when the head's next pieces can start, and guard that."""
-        offers: list[tuple[float, int, int]] = []  # when, node, pieces by then
-        zones = self._zones(job)
+        events: list[tuple[float, int, RunningTask | None]] = []  # when, node, what frees up
+        zones, now = self._zones(job), self.s.now
         for number, node in enumerate(self.s.nodes):
             if node.zone not in zones or not self._suits(job, number, node):
                 continue
-            cpus, gpus, memory = node.cpus, node.gpus, node.memory
-            known = fit(cpus, gpus, memory, job)
-            if known and node.ready_at <= self.s.now:
-                offers.append((self.s.now, number, known))  # it waits for a fetch there
-            elif known:
-                offers.append((node.ready_at, number, known))
-            for task in sorted(node.tasks, key=lambda t: t.end):
-                cpus, gpus, memory = cpus + task.cpus, gpus + task.gpus, memory + task.memory
-                fits = fit(cpus, gpus, memory, job)
-                if fits > known:
-                    offers.append((max(task.end, self.s.now), number, fits - known))
-                    known = fits
-        offers.sort()
+            if node.fit(job):  # it boots, or the head waits for a fetch there
+                events.append((max(node.ready_at, now), number, None))
+            events += [(max(task.end, now), number, task) for task in node.tasks]
+        events.sort(key=_when)
         self.plan.head = index
         want = min(left, RESERVED_MAX)
         last: dict[int, tuple[float, int]] = {}
-        for at, number, count in offers:
+        free: dict[int, Room] = {}
+        for at, number, task in events:
             if want <= 0:
                 break
-            take = min(count, want)
+            node = self.s.nodes[number]
+            room = free.get(number)
+            if room is None:
+                room = free[number] = Room()
+                room.cpus, room.gpus, room.memory = node.cpus, node.gpus, node.memory
+            if task is not None:
+                room.cpus += task.cpus
+                room.gpus += task.gpus
+                room.memory += task.memory
+            take = min(room.fit(job), want)
+            if take <= 0:
+                continue
+            room.use(job, take)
             want -= take
             if self.plan.head_start is None:
                 self.plan.head_start = at
@@ -258,6 +263,10 @@
             )
 
 
+def _when(event: tuple[float, int, RunningTask | None]) -> tuple[float, int]:
+    return event[:2]
+
+
 def place(snapshot: Snapshot) -> Plan:
     """The pure placement pass: no I/O, no clock."""
     return Pass(snapshot).run()
--- a/spoolcourse/control/placement/preempt.py
+++ b/spoolcourse/control/placement/preempt.py
@@ -58,6 +58,9 @@
         ),
         key=lambda v: v[:3],
     )
+    # Claims that found all too few victims: the next one like them would find none. Each
+    # claim looking through all tasks again cost fleet times backlog.
+    in_vain: set[tuple[object, ...]] = set()
     lowest = max((task.rank for *_, task in victims), default=-1)
     for index, missing in claims:
         job = snapshot.jobs[index]
@@ -70,6 +73,13 @@
                 missing -= _take(job, node, missing)
         if missing <= 0 or lowest < job.rank or (lowest == job.rank and not job.guaranteed):
             continue
+        plain = not (job.avoid or job.one_zone or job.spread is not None)
+        like = (
+            *(job.rank, job.guaranteed, job.team, job.builds, job.zone, job.loaners),
+            *(job.cpus, job.gpus, job.memory),
+        )
+        if plain and like in in_vain:
+            continue
         by_node: dict[int, list[RunningTask]] = {}
         for _, number, _, task in victims:
             if missing <= 0:
@@ -97,6 +107,8 @@
                 node.free(victim)
             by_node[number] = []
             missing -= _take(job, node, missing)
+        if missing > 0 and plain:
+            in_vain.add(like)
     return chosen
 
 
