--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -18,12 +18,15 @@
 
 TIMEOUT_S = 1.0
 PAUSE_S = 10.0
+AT_ONCE = 96  # calls under way; those to machines behind a cut hang until they time out
+SPARE = 0.15  # of the sockets, for users, peers and what is under way
 
 
 class Courier:
-    def __init__(self, net: Net, roster: Roster) -> None:
+    def __init__(self, net: Net, roster: Roster, sockets: int = 0) -> None:
         self._net = net
         self._roster = roster
+        self._sockets = sockets
         self.wake = asyncio.Event()
         self._busy: dict[str, asyncio.Task[None]] = {}
 
@@ -33,12 +36,22 @@
                 await self.wake.wait()
                 self.wake.clear()
                 for machine in self._roster.due(self._busy):
+                    if len(self._busy) >= AT_ONCE:
+                        break  # whoever comes back sees to the rest
                     task = asyncio.get_running_loop().create_task(self._send(machine))
                     self._busy[machine.id] = task
         finally:
             for task in self._busy.values():
                 task.cancel()
 
+    def may_keep(self) -> bool:
+        """Whether connections to machines may stay open beside those that their reports
+        come on. With two for each machine a fleet would use up the controller's sockets, and
+        workers' and users' new connections would fail."""
+        if not self._sockets:
+            return True
+        return 2 * len(self._roster.machines) < self._sockets * (1 - SPARE)
+
     async def _send(self, machine: Machine) -> None:
         try:
             attempts = self._roster.take_fresh_starts(machine)
@@ -47,7 +60,12 @@
             body = {"baton": self._roster.term, "shift": shift, "orders": orders}
             try:
                 reply = await self._net.call(
-                    machine.address, "POST", "/orders", body, timeout=TIMEOUT_S
+                    machine.address,
+                    "POST",
+                    "/orders",
+                    body,
+                    timeout=TIMEOUT_S,
+                    keep=self.may_keep(),
                 )
                 report = parse(reply.data, Report)
             except (NetError, Malformed) as exc:
@@ -60,6 +78,7 @@
                     attempt.loose = None
                 self._roster.observe(report)
         finally:
+            held_back = len(self._busy) >= AT_ONCE
             self._busy.pop(machine.id, None)
-            if machine.id in self._roster.errands:
+            if held_back or machine.id in self._roster.errands:
                 self.wake.set()
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -22,6 +22,10 @@
 
 log = logging.getLogger(__name__)
 
+# Machines asked at once. Those behind a cut let the call time out, so with a few at once a
+# takeover would grow by a second for every few silent machines.
+PROBES = 64
+
 
 @dataclass(frozen=True, slots=True)
 class Kind:
@@ -122,7 +126,7 @@
             and not m.silent_proof  # it has spoken under it, and will come by itself
             and m.address
         ]
-        gate = asyncio.Semaphore(8)
+        gate = asyncio.Semaphore(PROBES)
 
         async def one(machine: Machine) -> None:
             async with gate:
@@ -133,10 +137,12 @@
 
     async def raise_baton(self, machine: Machine) -> None:
         try:
-            shown = await self._net.call(machine.address, "GET", "/show", timeout=1.0)
+            shown = await self._net.call(machine.address, "GET", "/show", timeout=1.0, keep=False)
             report = parse(shown.data, Report)
             body = {"baton": self._roster.term, "shift": report.shift, "orders": []}
-            reply = await self._net.call(machine.address, "POST", "/orders", body, timeout=1.0)
+            reply = await self._net.call(
+                machine.address, "POST", "/orders", body, timeout=1.0, keep=False
+            )
             report = parse(reply.data, Report)
             if report.spindle == machine.id:
                 self._roster.observe(report)
--- a/spoolcourse/control/net.py
+++ b/spoolcourse/control/net.py
@@ -51,8 +51,24 @@
 
 class Net(Protocol):
     async def call(
-        self, addr: str, method: str, path: str, body: Any = None, timeout: float = 1.0
-    ) -> Reply: ...
+        self,
+        addr: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout: float = 1.0,
+        keep: bool = True,
+    ) -> Reply:
+        """`keep`: the connection may stay open for the next call to this address."""
+        ...
+
+
+_HEADERS = {
+    (body, keep): ({"Content-Type": "application/json"} if body else {})
+    | ({} if keep else {"Connection": "close"})
+    for body in (False, True)
+    for keep in (False, True)
+}
 
 
 def _reason(exc: Exception, timeout: float) -> str:
@@ -71,8 +87,11 @@
 
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
+            # No limit for all hosts together: calls to machines behind a cut hang until they
+            # time out, and a renewal of the leader's lease must never queue behind them. Who
+            # calls many hosts at once bounds that itself (`courier`, `keeper`).
             connector = aiohttp.TCPConnector(
-                limit=200, limit_per_host=24, keepalive_timeout=20.0, use_dns_cache=False
+                limit=0, limit_per_host=24, keepalive_timeout=20.0, use_dns_cache=False
             )
             self._session = aiohttp.ClientSession(
                 connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
@@ -80,7 +99,13 @@
         return self._session
 
     async def call(
-        self, addr: str, method: str, path: str, body: Any = None, timeout: float = 1.0
+        self,
+        addr: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout: float = 1.0,
+        keep: bool = True,
     ) -> Reply:
         raw = None if body is None else body if isinstance(body, bytes) else orjson.dumps(body)
         try:
@@ -90,7 +115,7 @@
                     f"http://{addr}{path}",
                     data=raw,
                     allow_redirects=False,
-                    headers={"Content-Type": "application/json"} if raw is not None else None,
+                    headers=_HEADERS[raw is not None, keep],
                 ) as resp:
                     text = await resp.read()
                     try:
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -9,6 +9,8 @@
 from itertools import islice
 from typing import Any
 
+import orjson
+
 from spoolcourse.control.fleet.courier import Courier
 from spoolcourse.control.fleet.roster import Roster
 from spoolcourse.control.jobs.book import Book
@@ -79,7 +81,7 @@
             self._wake.set,
         )
         self.roster.disk_gb = self._disk_gb
-        self.courier = Courier(net, self.roster)
+        self.courier = Courier(net, self.roster, params.machine_limits.sockets)
         self.writer = Writer(client, mirror, self.works, office, leadership.depose, self._on_saved)
         self.keeper = Keeper(
             net,
@@ -184,9 +186,8 @@
         if self._mirror.get(BASE) is not None:
             return
         names = [h.id for h in hosts if not h.loaners and h.stage == "running"]
-        room = int(self._params.state.value_kb * 1024) // 40
         value = {"machines": names if self._office.term == 1 else []}
-        if len(names) > room:
+        if len(orjson.dumps(value)) > self._params.state.value_kb * 1024:
             value = {"machines": []}  # a fleet of that size is not kept by name
         try:
             conditions = {BASE: 0, TERM: self._office.stamp}
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -69,6 +69,12 @@
     list_lag_s: Amount
 
 
+class MachineLimits(msgspec.Struct, frozen=True):
+    """What a controller's own machine allows; 0: nothing is said of it."""
+
+    sockets: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class Params(msgspec.Struct, frozen=True):
     zones: list[str]
     teams: list[Team]
@@ -76,6 +82,7 @@
     state: State
     cloud: Cloud
     objectives: list[Objective] = []
+    machine_limits: MachineLimits = MachineLimits()
     skew_ms: Amount = 0.0
 
 
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -71,7 +71,13 @@
         self._src = src
 
     async def call(
-        self, addr: str, method: str, path: str, body: Any = None, timeout: float = 1.0
+        self,
+        addr: str,
+        method: str,
+        path: str,
+        body: Any = None,
+        timeout: float = 1.0,
+        keep: bool = True,
     ) -> Reply:
         raw = body if isinstance(body, bytes) else orjson.dumps(body)
         data = None if body is None else orjson.loads(raw)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable
 from typing import Any
 
-from spoolcourse.control.net import Reply, Request
+from spoolcourse.control.net import HttpNet, Reply, Request
 from spoolcourse.control.server import listen
 from spoolcourse.wire.messages import BODY_LIMIT
 
@@ -18,9 +18,16 @@
     return Reply(201, {"path": request.path})
 
 
+async def never(request: Request) -> Reply:
+    await asyncio.Event().wait()
+    return Reply(200)
+
+
 def handler(request: Request) -> Reply | Awaitable[Reply]:
     if request.path == "/broken":
         raise RuntimeError("as planned")
+    if request.path == "/never":
+        return never(request)
     if request.path == "/later":
         return later(request)
     return Reply(200, {"len": len(request.body)}, {"Retry-After": "2"})
@@ -109,3 +116,28 @@
         assert await reader.read() == b""
 
     served(story, idle_s=0.05, sweep_s=0.02)
+
+
+def test_a_call_does_not_wait_behind_hundreds_that_hang() -> None:
+    # Calls to machines behind a cut hang until they time out. With one limit for all hosts
+    # the renewal of the leader's lease queued behind them.
+    async def main() -> None:
+        server = await listen(("0.0.0.0", 0), handler)
+        port = server.sockets[0].getsockname()[1]
+        net = HttpNet()
+
+        tasks = [
+            asyncio.create_task(net.call(f"127.0.1.{number}:{port}", "GET", "/never", timeout=30))
+            for number in range(1, 13)
+            for _ in range(20)
+        ]
+        await asyncio.sleep(0)
+        reply = await net.call(f"127.0.0.1:{port}", "GET", "/a", timeout=5.0)
+        assert reply.status == 200
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await net.close()
+        server.close()
+
+    asyncio.run(main())
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from spoolcourse.control.fleet import courier
 from spoolcourse.control.leadership.election import Leadership
 from spoolcourse.control.net import Reply
 from spoolcourse.control.store.client import StoreClient
@@ -468,3 +469,51 @@
         flood.cancel()
 
     play(story())
+
+
+def test_many_silent_machines_are_called_a_few_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    # A zone cut off: every call there hangs until it times out. Guards against a call for
+    # each machine at once, and against connections to a whole fleet kept open beside those
+    # that the reports come on.
+    monkeypatch.setattr(courier, "AT_ONCE", 6)
+
+    async def story() -> None:
+        world = World()
+        await world.up()
+        for _ in range(20):
+            world.cloud.add()
+        await asyncio.sleep(5)
+        leader = str(world.leader)
+        reign = world.nodes[leader].reign
+        assert reign is not None
+        seen: list[int] = []
+
+        def cut(src: str, dst: str, *rest: Any) -> str | None:
+            if src != leader or not dst.endswith(":9000"):
+                return None
+            seen.append(len(reign.courier._busy))
+            return "cut"
+
+        world.wire.filters.append(cut)
+        await world.submit(job(1, pieces=80, cpus=1.0))
+        await world.finish(1)
+        assert len(seen) > 6 and max(seen) == 6
+        machines = len(reign.roster.machines)
+        assert courier.Courier(reign.courier._net, reign.roster, 4 * machines).may_keep()
+        assert not courier.Courier(reign.courier._net, reign.roster, 2 * machines).may_keep()
+
+    play(story())
+
+
+def test_a_fleet_found_at_the_start_is_kept_by_name_as_far_as_a_value_holds() -> None:
+    # 40 bytes were reckoned for each name: a fleet half as large again as the largest known
+    # was not noted, and would have been returned as idle.
+    async def story() -> None:
+        world = World()
+        names = [world.cloud.add() for _ in range(300)]
+        await world.up()
+        await asyncio.sleep(5)
+        reign = world.nodes[str(world.leader)].reign
+        assert reign is not None and reign.keeper.base() == frozenset(names)
+
+    play(story())
