A leader that may have been replaced returns nothing for being idle or silent; tests of what is kept

Found by going through what is sent after a standstill: a deletion carries no baton, so a leader that stood still for 20 s, or lost the state service alone, could return machines that its successor had put to work.

--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -276,13 +276,17 @@
 
     def to_delete(self) -> list[str]:
         now = self._clock()
-        isolated, overdue = self.isolated(), self._overdue()
+        # After a standstill, or cut off from the state service, this node may lead no more:
+        # what looks idle or silent here may be at work for another. What a withdrawn job may
+        # hold goes all the same; nobody else may be there to see to it.
+        leads = self._may_rent()
+        isolated, overdue = self.isolated() or not leads, self._overdue()
         names = []
         spare = -self.short(now)
         self.mark_surplus(now)
         for machine in self._roster.machines.values():
             reason = self._reason(machine, now, isolated, overdue)
-            if reason is None and self._idle(machine, now):
+            if reason is None and leads and self._idle(machine, now):
                 cpus = self._cpus(machine)
                 if machine.surplus or cpus <= spare:
                     reason = "it is idle"
@@ -311,7 +315,7 @@
             and not machine.attempts
         ):
             boot = self._boot_s(machine)
-            late = now - (machine.up_at - boot) > self._policy.boot_patience * boot
+            late = not isolated and now - (machine.up_at - boot) > self._policy.boot_patience * boot
             # A leader that was just elected has heard nobody yet, and its list may be old.
             # Measured: 100 to 150 idle machines returned a second after each change.
             known = now - machine.since
@@ -336,8 +340,9 @@
         return build.vcpus if build else 0.0
 
     def _capacity(self) -> float:
+        size = {build.name: build.vcpus for build in self._builds().values()}  # asked every pass
         return sum(
-            self._cpus(m)
+            size.get(m.build or "", 0.0)
             for m in self._roster.machines.values()
             if m.placeable or (m.heard_at is None and not m.deleting and m.listed != "failed")
         )
--- /dev/null
+++ b/tests/test_sights.py
@@ -0,0 +1,100 @@
+"""What passes see of machines is kept between them: it must be what is there."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from spoolcourse.control.placement.snapshot import Surveyor
+from spoolcourse.control.reign import Reign
+from spoolcourse.policy.keys import check_policy
+from spoolcourse.wire.messages import Build
+from tests.fakes.clock import play
+from tests.fakes.world import World, job, settings
+from tests.test_fleet import Crew, on
+
+BUILDS = {"c8": Build("c8", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 20.0, ["a", "b"])}
+
+
+def surveyor(works: Any, roster: Any) -> Surveyor:
+    policy = check_policy({}, "test").initial()
+    return Surveyor(works, roster, settings().settings, policy)
+
+
+def seen(of: Surveyor, now: float, builds: dict[str, Build]) -> dict[str, Any]:
+    """Everything that a pass gets of the machines, by names."""
+    snapshot = of.take(now, builds)
+    images, found = of._images.names, {}
+    for machine, node in zip(of.machines, snapshot.nodes, strict=True):
+        tasks = sorted(
+            (t.ref, t.cpus, t.rank, t.team, t.stopping, t.safe, round(t.loss(now), 3))
+            for t in node.tasks
+        )
+        found[machine.id] = (
+            (node.cpus, node.gpus, node.memory, node.freed, node.zone, node.surplus),
+            sorted(images[i] for i in node.images),
+            sorted(images[i] for i in node.pulling),
+            tasks,
+        )
+    return found
+
+
+def test_what_is_kept_of_a_machine_is_what_a_new_look_shows() -> None:
+    # Guards against a change that is not noticed: room that is not there any more would be
+    # given away, and room that is there never used.
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda name: 3.0 + sum(name.encode()) % 7  # type: ignore[method-assign]
+        await world.up()
+        compared = 0
+
+        def compare(reign: Reign) -> None:
+            nonlocal compared
+            now, builds = world.now(), reign._builds()
+            fresh = surveyor(reign.works, reign.roster)
+            kept = seen(reign._surveyor, now, builds)
+            assert kept == seen(fresh, now, builds)
+            compared += sum(len(row[3]) for row in kept.values())
+
+        for number in range(1, 13):
+            crew = "red" if number % 3 else "blue"
+            rank = "high" if number % 4 == 0 else "standard"
+            saves = {"markEveryS": 2.0, "markCostS": 1.0} if number % 2 else {}
+            await world.submit(
+                job(number, pieces=9, crew=crew, rank=rank, bundle=f"img{number % 5}", **saves)
+            )
+            for _ in range(5):
+                await asyncio.sleep(0.7)
+                leader = world.nodes.get(str(world.leader))
+                if leader is not None and leader.reign is not None and leader.reign.passes:
+                    compare(leader.reign)
+            if number == 4:
+                await world.cancel(3)
+            if number == 6:
+                next(iter(world.cloud.workers.values())).die()
+            if number == 9:
+                world.kill(str(world.leader))
+        assert compared > 200
+
+    play(story())
+
+
+def test_an_attempt_that_outlives_its_job_still_counts_and_stops_no_pass() -> None:
+    # A piece that was completed elsewhere may still run here when its job is over. A pass
+    # once looked its job up among the live ones and ended with an error, and the leader's
+    # term with it; and its CPUs were given to the team a second time.
+    crew = Crew(pieces=1)
+    crew.report()
+    crew.assign()
+    crew.report(on())
+    other = on(stage="ended", number=9, cause="done")
+    crew.report(other, spindle="m-2", address="m-2:9")
+    assert crew.work.finished
+    before = surveyor(crew.works, crew.roster).take(crew.now, BUILDS)
+    crew.works.remove(crew.work)
+    after = surveyor(crew.works, crew.roster).take(crew.now, BUILDS)
+    red = [t.name for t in settings().settings.teams].index("red")
+    assert after.teams[red].cpus == before.teams[red].cpus == 64.0 - 2.0
+    crew.report()  # it is gone from the machine
+    gone = surveyor(crew.works, crew.roster).take(crew.now, BUILDS)
+    assert gone.teams[red].cpus == 64.0
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -517,3 +517,29 @@
         assert reign is not None and reign.keeper.base() == frozenset(names)
 
     play(story())
+
+
+def test_a_leader_that_may_have_been_replaced_returns_nothing_for_being_idle() -> None:
+    # A leader that stood still, or lost the state service alone, sees machines idle or silent
+    # that its successor has put to work. A deletion asks for no baton: it would end that work.
+    async def story() -> None:
+        world = World()
+        await world.up()
+        await world.submit(job(pieces=12))
+        await world.finish()
+        leader = str(world.leader)
+        reign = world.nodes[leader].reign
+        assert reign is not None and world.cloud.hosts
+        keeper = reign.keeper
+        await world.until(lambda: any(keeper._idle(m, world.now() + 1) for m in known(reign)), 300)
+        world.state.out = True
+        await asyncio.sleep(4)  # longer than the leader's lease
+        assert not keeper._may_rent() and any(keeper._idle(m, world.now()) for m in known(reign))
+        assert keeper.to_delete() == []
+        world.state.out = False
+        await world.until(lambda: not world.cloud.hosts, 300)
+
+    def known(reign: Any) -> list[Any]:
+        return list(reign.roster.machines.values())
+
+    play(story())
