--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -10,6 +10,8 @@
 
 from __future__ import annotations
 
+from heapq import heapify, heappop, heappush
+
 from spoolcourse.control.placement.model import (
     EPSILON,
     PLENTY,
@@ -18,7 +20,6 @@
     Node,
     Plan,
     Room,
-    RunningTask,
     Snapshot,
     fit,
 )
@@ -215,31 +216,35 @@
 
     def _protect(self, index: int, job: Job, left: int) -> None:
         """Work out when the head's next pieces can start, and guard that."""
-        events: list[tuple[float, int, RunningTask | None]] = []  # when, node, what frees up
+        # The next moment at which each machine's room grows: when, node, tasks ended so far.
+        events: list[tuple[float, int, int]] = []
         zones, now = self._zones(job), self.s.now
         for number, node in enumerate(self.s.nodes):
             if node.zone not in zones or not self._suits(job, number, node):
                 continue
             if node.fit(job):  # it boots, or the head waits for a fetch there
-                events.append((max(node.ready_at, now), number, None))
-            events += [(max(task.end, now), number, task) for task in node.tasks]
-        events.sort(key=_when)
+                events.append((max(node.ready_at, now), number, 0))
+            elif node.tasks:
+                events.append((max(node.tasks[0].end, now), number, 1))
+        heapify(events)
         self.plan.head = index
         want = min(left, RESERVED_MAX)
         last: dict[int, tuple[float, int]] = {}
         free: dict[int, Room] = {}
-        for at, number, task in events:
-            if want <= 0:
-                break
+        while events and want > 0:
+            at, number, ended = heappop(events)
             node = self.s.nodes[number]
             room = free.get(number)
             if room is None:
                 room = free[number] = Room()
                 room.cpus, room.gpus, room.memory = node.cpus, node.gpus, node.memory
-            if task is not None:
+            if ended:
+                task = node.tasks[ended - 1]
                 room.cpus += task.cpus
                 room.gpus += task.gpus
                 room.memory += task.memory
+            if ended < len(node.tasks):
+                heappush(events, (max(node.tasks[ended].end, at), number, ended + 1))
             take = min(room.fit(job), want)
             if take <= 0:
                 continue
@@ -263,10 +268,6 @@
             )
 
 
-def _when(event: tuple[float, int, RunningTask | None]) -> tuple[float, int]:
-    return event[:2]
-
-
 def place(snapshot: Snapshot) -> Plan:
     """The pure placement pass: no I/O, no clock."""
     return Pass(snapshot).run()
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -72,7 +72,7 @@
     pull_rate: float
     images: set[int] = field(default_factory=set)
     pulling: dict[int, float] = field(default_factory=dict)  # image: GB still to come, about
-    tasks: list[RunningTask] = field(default_factory=list)
+    tasks: list[RunningTask] = field(default_factory=list)  # by their ends
     ready_at: float = 0.0
     surplus: bool = False  # should run empty to be returned
     rare: bool = False  # some waiting job fits nowhere else
--- a/spoolcourse/control/placement/preempt.py
+++ b/spoolcourse/control/placement/preempt.py
@@ -54,7 +54,10 @@
             (task.loss(snapshot.now) / max(task.cpus, 0.1), number, task.end, task)
             for number, node in enumerate(snapshot.nodes)
             for task in node.tasks
-            if task.rank >= highest and not task.stopping and task.end > snapshot.now + patience_s
+            if task.rank >= highest
+            and (task.rank > highest or (over[task.team] > 0 and not task.safe))
+            and not task.stopping
+            and task.end > snapshot.now + patience_s
         ),
         key=lambda v: v[:3],
     )
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -22,7 +22,7 @@
 from spoolcourse.control.reign import Reign
 from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import CATALOG, PREFIX
-from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.control.store.mirror import WATCH_GAP_LEADING_S, WATCH_GAP_S, Mirror
 from spoolcourse.policy.keys import PolicySource, check_policy
 from spoolcourse.wire.messages import Build, Catalog, Malformed, parse, parse_report
 from spoolcourse.wire.settings import Settings
@@ -110,6 +110,7 @@
         await asyncio.gather(*self._tasks)
 
     def _elected(self, office: Office) -> None:
+        self.mirror.watch_gap_s = WATCH_GAP_LEADING_S
         self.reign = Reign(
             office,
             self.leadership,
@@ -127,6 +128,7 @@
         self.reign.start()
 
     def _deposed(self) -> None:
+        self.mirror.watch_gap_s = WATCH_GAP_S
         if self.reign is not None:
             self.reign.stop()
             self.reign = None
--- a/spoolcourse/control/store/mirror.py
+++ b/spoolcourse/control/store/mirror.py
@@ -16,6 +16,9 @@
 
 log = logging.getLogger(__name__)
 
+WATCH_GAP_S = 0.25  # nothing waits for the watch but the next election, and new jobs' starts
+WATCH_GAP_LEADING_S = 0.05
+
 Listener = Callable[[str, Any, int], None]
 
 
@@ -36,6 +39,7 @@
         self._sync_waiters: list[asyncio.Future[None]] = []
         self._sync_task: asyncio.Task[None] | None = None
         self.sync_gap_s = 0.1
+        self.watch_gap_s = WATCH_GAP_S
 
     def listen(self, listener: Listener) -> None:
         self._listeners.append(listener)
@@ -105,6 +109,9 @@
                 self._advance(ledger, changes)
                 self.synced_at = max(self.synced_at, start)
                 delay = 0.1
+                # A leader at work writes many times a second, and every node is woken by
+                # each write. What comes within this pause comes with one answer.
+                await asyncio.sleep(self.watch_gap_s)
             except Compacted:
                 log.info("watch fell behind; reading all keys again")
                 self.loaded.clear()
--- a/spoolcourse/policy/keys.py
+++ b/spoolcourse/policy/keys.py
@@ -39,7 +39,7 @@
         "max(16, 0.4 * machines)", 0, 100_000, "fetches", "image fetches at once in a zone"
     ),
     "pass_gap_s": Key(
-        "min(2, max(0.1, 4 * pass_cost_s))", 0.01, 10, "s", "shortest time between two passes"
+        "min(2, max(0.1, 8 * pass_cost_s))", 0.01, 10, "s", "shortest time between two passes"
     ),
     "pass_period_s": Key("1", 0.1, 30, "s", "longest time between two passes"),
     "default_estimate_s": Key("60", 1, 86_400, "s", "run time of jobs without an estimate"),
