--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -40,9 +40,8 @@
     heard_at: float | None = None  # a report of any kind
     answered_at: float | None = None  # a 200 of ours, which may have renewed its lease
     silent_proof: bool = False  # its lease has run out since our last answer
-    session_at: float = 0.0  # when this session was first heard of
     unheeded: int = 0  # answers that had no effect, of late
-    doubted_at: float = float("-inf")  # the last of them
+    doubted_at: float = 0.0  # the last of them, or when this session was first heard of
     deaf_since: float | None = None  # its reports arrive, our answers don't
     proven_at: float = 0.0  # the last report under our baton, or `since`
     listed: str | None = None  # its stage in the cloud's list
@@ -216,8 +215,8 @@
                 self._unheeded(machine)  # its lease ran out although it was answered
             machine.confirmed = False
             machine.kept.clear()
-            machine.session_at = now
-        elif now - max(machine.session_at, machine.doubted_at) > self._margin_s:
+            machine.doubted_at = now
+        elif now - machine.doubted_at > self._margin_s:
             # The session has outlived a lease since, so answers do arrive. Commands that
             # arrive by `/orders` are no such proof: they renew nothing.
             machine.unheeded = 0
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -244,7 +244,7 @@
         while True:
             await asyncio.sleep(1.0)
             self._roster.expire()
-            if self._clock() - logged_at > SUMMARY_S:
+            if log.isEnabledFor(logging.INFO) and self._clock() - logged_at > SUMMARY_S:
                 logged_at = self._clock()
                 self._log_fleet()
                 self.on_summary()
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -134,12 +134,16 @@
     return True
 
 
-def decode(raw: bytes) -> Any:
-    """JSON with finite numbers only."""
+def _load(raw: bytes) -> Any:
     try:
-        data = orjson.loads(raw)
+        return orjson.loads(raw)
     except orjson.JSONDecodeError as exc:
         raise Malformed(f"not JSON: {exc}") from exc
+
+
+def decode(raw: bytes) -> Any:
+    """JSON with finite numbers only."""
+    data = _load(raw)
     if not _finite(data):
         raise Malformed("a number is not finite")
     return data
@@ -177,10 +181,7 @@
 
 def parse_report(raw: bytes) -> Report:
     """Reports are by far the most frequent message: they are checked in one go."""
-    try:
-        report = parse(orjson.loads(raw), Report)
-    except orjson.JSONDecodeError as exc:
-        raise Malformed(f"not JSON: {exc}") from exc
+    report = parse(_load(raw), Report)
     if report.recallS is not None and not math.isfinite(report.recallS):
         raise Malformed("recallS: a number is not finite")
     for piece in report.pieces:
