--- a/spoolcourse/control/server.py
+++ b/spoolcourse/control/server.py
@@ -32,7 +32,7 @@
 # A handler answers at once where it can; what has to wait is awaited in a task.
 Handler = Callable[[Request], Reply | Awaitable[Reply]]
 
-IDLE_S = 60.0  # users and workers ask every few seconds
+IDLE_S = 30.0  # users and workers ask every few seconds; peers let go after 20 s themselves
 SWEEP_S = 5.0
 QUEUE_MOST = 8  # requests sent ahead of their answers on one connection
 _HEADS = {
