--- a/spoolcourse/control/fleet/courier.py
+++ b/spoolcourse/control/fleet/courier.py
@@ -18,7 +18,7 @@
 
 TIMEOUT_S = 1.0
 PAUSE_S = 10.0
-AT_ONCE = 96  # calls under way; those to machines behind a cut hang until they time out
+AT_ONCE = 192  # calls under way; those to machines behind a cut hang until they time out
 SPARE = 0.15  # of the sockets, for users, peers and what is under way
 
 
--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -99,6 +99,7 @@
         self.buried: OrderedDict[str, None] = OrderedDict()  # names never come back
         self.errands: set[str] = set()  # machines that may have starts or halts to be sent
         self.disk_gb: Callable[[str], float] = lambda build: 0.0
+        self.quiet_s = float("inf")
 
     def machine(self, name: str) -> Machine:
         machine = self.machines.get(name)
@@ -106,6 +107,13 @@
             machine = self.machines[name] = Machine(name, self._clock(), proven_at=self._clock())
         return machine
 
+    def quiet(self, machine: Machine) -> bool:
+        """It has missed its reports for certain. That proves nothing about what it holds, but
+        nothing new is put there, nor is it called: with a zone cut off, hundreds of calls that
+        hang would keep those to the rest waiting, and work would be bound until leases end.
+        """
+        return machine.heard_at is not None and self._clock() - machine.heard_at > self.quiet_s
+
     def link(self, attempt: Attempt) -> None:
         machine = self.machine(attempt.machine)
         machine.attempts[attempt.work.id, attempt.piece] = attempt
@@ -398,6 +406,7 @@
                 and machine.address
                 and machine.confirmed
                 and machine.shut_until <= now
+                and not self.quiet(machine)
                 and (
                     any(map(_to_halt, attempts))
                     or (may_start and machine.placeable and any(map(self._fresh, attempts)))
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -115,6 +115,8 @@
                 continue
             if not booting and not (machine.placeable and machine.refuse_until <= now):
                 continue
+            if self._roster.quiet(machine):
+                continue
             rare = build.name in rare_types
             node = self._sights.node(machine, build, self._works.jobs, now, rare)
             if booting and machine.up_at is not None:
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -81,6 +81,7 @@
             self._wake.set,
         )
         self.roster.disk_gb = self._disk_gb
+        self.roster.quiet_s = params.workers.quiet_s
         self.courier = Courier(net, self.roster, params.machine_limits.sockets)
         self.writer = Writer(client, mirror, self.works, office, leadership.depose, self._on_saved)
         self.keeper = Keeper(
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -539,3 +539,32 @@
         await world.until(lambda: not world.cloud.hosts, 300)
 
     play(story())
+
+
+def test_a_machine_that_missed_its_reports_gets_no_new_work_while_its_lease_runs() -> None:
+    # A zone cut off: the machines there look free until their leases have run out. Work put
+    # there would be bound so long, and calls there would keep those to the rest waiting.
+    async def story() -> None:
+        world = World()
+        world.cloud.capacity = 2
+        await world.up()
+        names = [world.cloud.add(), world.cloud.add()]
+        await asyncio.sleep(5)
+        leader = str(world.leader)
+        reign = world.nodes[leader].reign
+        assert reign is not None
+        world.cut_off(names[0])
+        await asyncio.sleep(reign._params.workers.quiet_s + 0.5)
+        assert not reign.roster.machines[names[0]].silent_proof
+        calls: list[str] = []
+
+        def watched(src: str, dst: str, *rest: Any) -> None:
+            calls.append(dst)
+
+        world.wire.filters.insert(0, watched)
+        await world.submit(job(1, pieces=3))
+        assert await world.finish(1) < 9 + world.cloud.run_s("job-000001/0")
+        assert not any(d.startswith(names[0]) for d in calls)
+        assert {m for _, n, m in world.cloud.starts if n.startswith("job-000001")} == {names[1]}
+
+    play(story())
