--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -263,14 +263,9 @@
 
     def isolated(self) -> bool:
         """Most machines silent at once: more likely we are cut off than they are dead."""
-        now = self._clock()
         known = [m for m in self._roster.machines.values() if m.heard_at is not None]
         quiet = sum(
-            1
-            for m in known
-            if not m.confirmed
-            or m.deaf_since is not None
-            or now - (m.heard_at or 0.0) > self._workers.quiet_s
+            1 for m in known if not m.confirmed or m.deaf_since is not None or self._roster.quiet(m)
         )
         return len(known) >= 3 and quiet * 2 > len(known)
 
--- a/spoolcourse/control/server.py
+++ b/spoolcourse/control/server.py
@@ -2,8 +2,8 @@
 
 Workers' reports are by far the most frequent requests, and the leader answers them from
 memory. aiohttp's server makes a task, a request and a response object and a payload writer
-for each, which cost three times as much as the report itself; on fleets that was most of a
-leader's processor time. Here a request whose answer needs no waiting is parsed, answered
+for each: on loopback 250 us of the process' time for a report in all, instead of 115 us.
+Here a request whose answer needs no waiting is parsed, answered
 and written in one go. aiohttp stays the library: its parser reads the requests.
 """
 
