The gap: no answer renews a lease beyond the time by which an unknown cancellation must be gone

Cause: a leader that the state service refuses alone keeps answering its workers; what others confirmed as cancelled meanwhile runs on, and nobody else can be elected in the outage that follows.

- leadership/currency.py: up to when the leader knows every confirmed cancellation (reads of the state service, or all peers asked); leadership/inquiry.py asks them, jobs/cancellations.py remembers.
- machines/cancelled.py: the time left is counted from the cancellation itself; a leader that learned late gives machines their next report and no more.
- The first answer after a change of leader halts what is cancelled: it renews the lease.
- A halt of cancelled work goes to /orders at once as well.
- A machine that only calls reach: the lease of a session that calls have shown begins when it is seen, not with an older answer; and its answers to calls are no reports, so it gets no new work.
- A claim's lease is part of the term key, so that a claim carried out late is not taken for the next.
- A machine on which a job failed is avoided for 60 s, not for ever.

test_an_election_that_was_overtaken...: the term key's value has the lease now; the test names it.

--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -15,12 +15,13 @@
 from typing import Any
 
 from spoolcourse.control.jobs.works import Attempt, Work, Works
-from spoolcourse.control.leadership.election import DRIFT
+from spoolcourse.control.leadership.currency import DRIFT
 from spoolcourse.wire.messages import Piece, Report, split_piece
 
 log = logging.getLogger(__name__)
 
 ORDERS_MAX = 300  # per response, well below 64 KiB
+AVOID_S = 60.0  # a machine that a job failed on; for ever, it might be left with none
 UNHEEDED_MOST = 3  # answers without effect within a lease: later ones will have none either
 
 
@@ -38,7 +39,11 @@
     tick: int = -1
     confirmed: bool = False  # has reported our baton in this session
     heard_at: float | None = None  # a report of any kind
+    spoke_at: float = 0.0  # a report of its own accord, or when it was first heard of
     answered_at: float | None = None  # a 200 of ours, which may have renewed its lease
+    # The latest moment at which its lease can have begun: an answer of ours, or, for a session
+    # that was under our baton before we answered it, when we heard of that.
+    leased_at: float | None = None
     silent_proof: bool = False  # its lease has run out since our last answer
     unheeded: int = 0  # answers that had no effect, of late
     doubted_at: float = 0.0  # the last of them, or when this session was first heard of
@@ -108,11 +113,13 @@
         return machine
 
     def quiet(self, machine: Machine) -> bool:
-        """It has missed its reports for certain. That proves nothing about what it holds, but
-        nothing new is put there, nor is it called: with a zone cut off, hundreds of calls that
-        hang would keep those to the rest waiting, and work would be bound until leases end.
+        """It has missed its reports for certain. Its answers to calls don't count: a machine
+        that reaches no controller loses with its lease whatever calls start there. That proves
+        nothing about what it holds, but nothing new is put there, nor is it called: with a zone
+        cut off, hundreds of calls that hang would keep those to the rest waiting, and work would
+        be bound until leases end.
         """
-        return machine.heard_at is not None and self._clock() - machine.heard_at > self.quiet_s
+        return machine.heard_at is not None and self._clock() - machine.spoke_at > self.quiet_s
 
     def link(self, attempt: Attempt) -> None:
         machine = self.machine(attempt.machine)
@@ -154,8 +161,8 @@
             if (
                 machine.confirmed
                 and not machine.silent_proof
-                and machine.answered_at is not None
-                and now - machine.answered_at > self._margin_s
+                and machine.leased_at is not None
+                and now - machine.leased_at > self._margin_s
             ):
                 log.info("%s: silent, its lease has run out", machine.id)
                 machine.silent_proof = True
@@ -197,12 +204,21 @@
         if (report.shift, report.tick) <= (machine.shift, machine.tick):
             return None
         self.learn(machine, report)
-        machine.answered_at = now
+        machine.spoke_at = machine.answered_at = machine.leased_at = now
+        halts = self._halts(machine, report)
         if report.baton != self.term:
             # Older orders may still reach it. Our baton in the answer ends that, and its
-            # next report tells what is there.
-            return []
-        return self._orders(machine, report, now)
+            # next report tells what is there. But what is cancelled ends now: this answer
+            # renews its lease, and it may be the last one that arrives.
+            return halts[:ORDERS_MAX]
+        return self._orders(machine, report, halts)
+
+    def overhear(self, report: Report) -> None:
+        """Take in a report that is not answered, and so renews nothing."""
+        self.observe(report)
+        machine = self.machines.get(report.spindle)
+        if machine is not None and (report.shift, report.tick) == (machine.shift, machine.tick):
+            machine.spoke_at = self._clock()
 
     def observe(self, report: Report) -> None:
         """Take in a report that came as the answer to `/orders` or `/show`."""
@@ -231,6 +247,7 @@
             machine.deaf_since = None
         if machine.heard_at is None:
             machine.proven_at = now  # it had to boot first: nothing could be proven before
+            machine.spoke_at = now
         machine.heard_at = now
         machine.shift, machine.tick = report.shift, report.tick
         machine.build, machine.yard = report.build, report.yard
@@ -245,6 +262,10 @@
             machine.proven_at = now
             if not machine.confirmed:
                 machine.confirmed = True
+                # A session that only calls have shown, as of a machine that reaches nobody: it
+                # may have begun just now. With an answer of before, its tasks would be taken
+                # for gone while they run.
+                machine.leased_at = now
                 log.debug("%s: confirmed in session %d", machine.id, report.shift)
                 self._on_room()
             self._reconcile(machine, report, now)
@@ -319,7 +340,7 @@
             self.works.complete(work, attempt.piece)
         elif cause == "error":
             work.failures += 1
-            work.bad_machines.add(machine.id)
+            work.bad_machines[machine.id] = now + AVOID_S
             machine.errors.add(work.id)
             # A job with a mistake fails everywhere: let it not eat up the machines.
             if work.failures >= 3:
@@ -368,8 +389,30 @@
 
     # -- orders -------------------------------------------------------------------
 
-    def _orders(self, machine: Machine, report: Report, now: float) -> list[dict[str, Any]]:
+    def _halts(self, machine: Machine, report: Report) -> list[dict[str, Any]]:
+        """Cancelled work, and what no job knows, ends at once. So does a cancelled start that
+        is on its way by `/orders` and not reported yet: whichever comes first, and if it is
+        the halt, a later report shows it."""
         orders: list[dict[str, Any]] = []
+        listed = set()
+        for item in report.pieces:
+            job, piece = split_piece(item.piece)
+            listed.add((job, piece))
+            if item.stage == "ended":
+                continue
+            work = self.works.jobs.get(job)
+            if work.record.aborted if work is not None else self._over(job):
+                orders.append(_halt_order(item.piece, item.attempt, 0.0))
+        for key, attempt in machine.attempts.items():
+            if attempt.work.record.aborted and not attempt.never_sent and key not in listed:
+                orders.append(_halt_order(attempt.name, attempt.number, 0.0))
+        return orders
+
+    def _orders(
+        self, machine: Machine, report: Report, orders: list[dict[str, Any]]
+    ) -> list[dict[str, Any]]:
+        """`orders`: those that go first."""
+        halted = {(order["piece"], order["try"]) for order in orders}
         for item in report.pieces:
             job, piece = split_piece(item.piece)
             if item.stage == "ended":
@@ -377,10 +420,10 @@
                     continue
                 if self._may_reap(job, piece, item):
                     orders.append({"verb": "reap", "piece": item.piece, "try": item.attempt})
-                continue
-            grace = self._halt(machine, job, piece, item)
-            if grace is not None:
-                orders.append(_halt_order(item.piece, item.attempt, grace))
+            elif (item.piece, item.attempt) not in halted:
+                grace = self._halt(machine, job, piece, item)
+                if grace is not None:
+                    orders.append(_halt_order(item.piece, item.attempt, grace))
         if self._may_start() and machine.placeable:
             stamp = (report.shift, report.tick)
             for attempt in machine.attempts.values():
@@ -456,8 +499,8 @@
         """The grace to stop with, or None to let it go on."""
         work = self.works.jobs.get(job)
         if work is None:
-            return 0.0 if self._over(job) else None
-        if work.record.aborted or (job, piece, item.attempt) in machine.strays:
+            return None
+        if (job, piece, item.attempt) in machine.strays:
             return 0.0
         attempt = machine.attempts.get((job, piece))
         if attempt is not None and attempt.halting and item.stage != "flushing":
--- a/spoolcourse/control/intake/api.py
+++ b/spoolcourse/control/intake/api.py
@@ -9,7 +9,6 @@
 
 import asyncio
 import logging
-import math
 from collections.abc import Callable
 from typing import Any
 from urllib.parse import unquote, urlsplit
@@ -18,7 +17,7 @@
 
 from spoolcourse.control.intake.checks import refusal, usable_builds
 from spoolcourse.control.jobs.book import Book
-from spoolcourse.control.net import Net, NetError, Reply, Request
+from spoolcourse.control.net import Net, NetError, Reply, Request, later
 from spoolcourse.control.store.client import Refused, StoreClient, Unclear
 from spoolcourse.control.store.mirror import Mirror
 from spoolcourse.wire.messages import (
@@ -40,12 +39,6 @@
     """This node can't answer for sure just now."""
 
 
-def later(why: str, after: float = 1.0) -> Reply:
-    """Can't say now. The user is told when to come back (30 s is the longest that counts)."""
-    seconds = max(1, min(30, math.ceil(after)))
-    return Reply(503, {"error": why}, {"Retry-After": str(seconds)})
-
-
 class Intake:
     def __init__(
         self,
--- a/spoolcourse/control/jobs/book.py
+++ b/spoolcourse/control/jobs/book.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import replace
 from typing import Any
 
+from spoolcourse.control.jobs.cancellations import Cancellation, Cancellations
 from spoolcourse.control.jobs.records import JobRecord, chunk_pieces
 from spoolcourse.control.store.client import Put, StoreClient, Unclear
 from spoolcourse.control.store.keys import (
@@ -29,6 +31,7 @@
         self._mirror = mirror
         self.live: dict[str, JobRecord] = {}
         self.counts: dict[str, dict[int, tuple[int, int]]] = {}  # per chunk: done, held
+        self.cancellations = Cancellations()
         self._finals: OrderedDict[str, dict[str, Any]] = OrderedDict()
         mirror.listen(self._on_change)
 
@@ -38,7 +41,9 @@
             if value is None:
                 self.live.pop(job, None)
             else:
-                self.live[job] = JobRecord.from_value(value, stamp)
+                record = self.live[job] = JobRecord.from_value(value, stamp)
+                if record.aborted_at is not None:
+                    self.cancellations.note(Cancellation(job, record.aborted_at, stamp))
         elif key.startswith(PROGRESS):
             job, chunk = split_progress(key)
             if value is None:
@@ -112,6 +117,13 @@
         value = record.value()
         return await self._write(key, value, {key: 0, final_key(sub.id): 0})
 
+    def learn_cancelled(self, found: Cancellation) -> None:
+        """Take over a peer's word for a cancellation that is in the state service."""
+        record = self.live.get(found.job)
+        if record is not None and not record.aborted:
+            aborted = replace(record, aborted_at=found.at)
+            self._mirror.apply(job_key(found.job), aborted.value(), found.stamp)
+
     async def withdraw(self, job: str, at: float) -> bool:
         """Mark a live job aborted; False if it changed meanwhile (look again).
 
@@ -120,7 +132,7 @@
         record = self.live[job]
         if record.aborted:
             return True
-        aborted = JobRecord(record.sub, record.at, record.chunk, at, 0)
+        aborted = replace(record, aborted_at=at)
         key = job_key(job)
         return await self._write(key, aborted.value(), {key: record.stamp})
 
--- /dev/null
+++ b/spoolcourse/control/jobs/cancellations.py
@@ -0,0 +1,41 @@
+"""Cancellations that this node has confirmed or seen, for a leader that can't ask the state
+service.
+
+Whatever a node tells its users has come by its mirror before: its own writes, and what it
+read. So to remember what the mirror showed is to remember what was confirmed.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import msgspec
+
+MOST = 20_000
+
+
+class Cancellation(msgspec.Struct, frozen=True):
+    job: str
+    at: float  # time of day
+    stamp: int
+
+
+class Cancellations:
+    def __init__(self, most: int = MOST) -> None:
+        self._most = most
+        self._known: OrderedDict[str, Cancellation] = OrderedDict()
+        self._floor = 0  # of what happened up to this revision some may be forgotten
+
+    def note(self, found: Cancellation) -> None:
+        if found.job in self._known:
+            return
+        self._known[found.job] = found
+        while len(self._known) > self._most:
+            _, oldest = self._known.popitem(last=False)
+            self._floor = max(self._floor, oldest.stamp)
+
+    def beyond(self, ledger: int) -> list[Cancellation] | None:
+        """Those later than a revision; None if some of them may have been forgotten."""
+        if ledger < self._floor:
+            return None
+        return [c for c in self._known.values() if c.stamp > ledger]
--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -68,9 +68,10 @@
     fresh: int = 0  # pieces from here on were never assigned, but for those held or done
     retry_at: float = 0.0
     failures: int = 0  # attempts in a row that ended in error
-    bad_machines: set[str] = field(default_factory=set)
+    bad_machines: dict[str, float] = field(default_factory=dict)  # it failed there: until when
     final: bool = False  # the final state is durable
     waiting_since: float = 0.0
+    cancelled_known_at: float = 0.0  # when this leader heard of it; only if it is cancelled
 
     @property
     def id(self) -> str:
@@ -203,7 +204,7 @@
             self.on_dirty()
 
     def add(self, record: JobRecord, now: float) -> Work:
-        work = Work(record, waiting_since=now)
+        work = Work(record, waiting_since=now, cancelled_known_at=now)
         self.jobs[work.id] = work
         self.check(work)
         return work
@@ -221,7 +222,7 @@
         self, record: JobRecord, now: float, saved: dict[int, tuple[Progress, int]]
     ) -> Work:
         """Rebuild from the records; attempts are open until their machines have spoken."""
-        work = Work(record, waiting_since=now)
+        work = Work(record, waiting_since=now, cancelled_known_at=now)
         self.jobs[work.id] = work
         for index, (progress, stamp) in saved.items():
             work.chunks[index] = Chunk(index, progress, stamp)
--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -14,14 +14,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from spoolcourse.control.leadership.currency import DRIFT
 from spoolcourse.control.store.client import LeaseGone, Put, Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import LEADER, TERM
 from spoolcourse.control.store.mirror import Mirror
 
 log = logging.getLogger(__name__)
 
-DRIFT = 0.001  # two clocks, each up to 0.05% off
-
 
 @dataclass(frozen=True, slots=True)
 class Office:
@@ -135,7 +134,10 @@
         conditions = {LEADER: entry.stamp if entry else 0, TERM: term.stamp if term else 0}
         sent = loop.time()
         lease = await self._client.grant(self._ttl_s)
-        tenure = {"term": number, "run": self._run_id}
+        # The lease is part of what the read-back asks for: an earlier claim of this run that
+        # was carried out late has the same number, but its key hangs on another lease, and
+        # renewing the new one would keep alive nothing.
+        tenure = {"term": number, "run": self._run_id, "hold": lease}
         claim = tenure | {"label": self._label}
         try:
             outcome = await self._client.txn(
--- /dev/null
+++ b/spoolcourse/control/machines/cancelled.py
@@ -0,0 +1,64 @@
+"""Cancelled work on machines that can't be told: the machine goes before `cancel_s` is over.
+
+The time left is counted from the cancellation itself, not from when this leader heard of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from spoolcourse.control.fleet.roster import Machine
+from spoolcourse.control.jobs.works import Works
+from spoolcourse.wire.settings import Workers
+
+SHARE = 0.4  # of `cancel_s`: its tasks should have ended by then, and a deletion may need retries
+LAST_CALL_S = 5.0  # for the deletion itself
+
+
+class Cancelled:
+    def __init__(
+        self,
+        works: Works,
+        workers: Workers,
+        skew_s: float,
+        clock: Callable[[], float],
+        wall: Callable[[], float],
+    ) -> None:
+        self._works = works
+        self._workers = workers
+        self._skew_s = skew_s
+        self._clock = clock
+        self._wall = wall
+
+    def _patience(self, age_when_learned: float) -> float:
+        """How long machines are given to be told. A leader that took over, or learned late,
+        has less left; but each is given its next report, or a fleet that is about to be told
+        would be deleted (and leases end what no leader that knows less may keep alive)."""
+        next_report = 1.25 * self._workers.report_s + 0.5
+        left = self._workers.cancel_s - LAST_CALL_S - age_when_learned
+        return min(self._workers.quiet_s, max(left, next_report))
+
+    def overdue(self) -> dict[str, float]:
+        """Cancelled jobs whose tasks should have ended by now, and the time that a machine
+        is given after this leader first heard of it."""
+        now, wall = self._clock(), self._wall()
+        found = {}
+        for work in self._works.jobs.values():
+            at = work.record.aborted_at
+            if at is None:
+                continue
+            age = wall - at + self._skew_s
+            known = now - work.cancelled_known_at
+            patience = self._patience(age - known)
+            if age > SHARE * self._workers.cancel_s and known > patience:
+                found[work.id] = patience
+        return found
+
+    def holds(self, machine: Machine, overdue: dict[str, float]) -> bool:
+        """A task of these jobs may be there. Whether the machine is silent or only our
+        answers don't reach it: it can't be told, so it goes itself."""
+        if not overdue:
+            return False
+        known = self._clock() - machine.since
+        jobs = {job for job, _ in machine.attempts} | {stray[0] for stray in machine.strays}
+        return any(known > overdue[job] for job in jobs if job in overdue)
--- a/spoolcourse/control/machines/keeper.py
+++ b/spoolcourse/control/machines/keeper.py
@@ -13,6 +13,7 @@
 
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.load import SUMMARY_S
+from spoolcourse.control.machines.cancelled import Cancelled
 from spoolcourse.control.machines.cloud import DELETE_MAX, Cloud, CloudError, NoCapacity
 from spoolcourse.control.machines.demand import Demand
 from spoolcourse.control.net import Net, NetError
@@ -62,7 +63,9 @@
         self._may_rent = may_rent
         self._workers = params.workers
         self._list_lag_s = params.cloud.list_lag_s
-        self._wall = wall
+        self._cancelled = Cancelled(
+            roster.works, params.workers, params.skew_ms / 1000, clock, wall
+        )
         self._hires = 0
         self.demand = Demand(KEYS["keep_s"].high)
         # Machines that were there before the service first ran: the operators chose to
@@ -275,7 +278,7 @@
         # what looks idle or silent here may be at work for another. What a withdrawn job may
         # hold goes all the same; nobody else may be there to see to it.
         leads = self._may_rent()
-        isolated, overdue = self.isolated() or not leads, self._overdue()
+        isolated, overdue = self.isolated() or not leads, self._cancelled.overdue()
         names = []
         spare = -self.short(now)
         self.mark_surplus(now)
@@ -293,7 +296,7 @@
         return names[:DELETE_MAX]
 
     def _reason(
-        self, machine: Machine, now: float, isolated: bool, overdue: set[str]
+        self, machine: Machine, now: float, isolated: bool, overdue: dict[str, float]
     ) -> str | None:
         if machine.deleting:
             return "asked for before"
@@ -301,8 +304,8 @@
             return "it failed"
         heard = machine.heard_at
         silent = now - (heard if heard is not None else machine.running_at or machine.since)
-        if self._holds(machine, overdue, now):
-            return "a withdrawn job may be on it, and it can't be told"
+        if self._cancelled.holds(machine, overdue):
+            return "a cancelled job may be on it, and it can't be told"
         if (
             heard is None
             and machine.up_at is not None
@@ -385,25 +388,6 @@
             limit = max(policy.idle_min_s, policy.idle_boots * boot)
         return now - machine.idle_since > limit
 
-    def _overdue(self) -> set[str]:
-        """Withdrawn jobs whose tasks should have ended by now: they must be gone within
-        `cancel_s`, and a deletion may need a retry or two."""
-        wall, limit = self._wall(), self._workers.cancel_s * 0.4
-        return {
-            work.id
-            for work in self._roster.works.jobs.values()
-            if work.record.aborted_at is not None and wall - work.record.aborted_at > limit
-        }
-
-    def _holds(self, machine: Machine, jobs: set[str], now: float) -> bool:
-        """A task of these jobs may be there. Whether the machine is silent or only our
-        answers don't reach it: it can't be told, so it goes itself."""
-        if not jobs or now - machine.since <= self._workers.quiet_s:
-            return False  # or it has hardly had the time to be told by this leader
-        return any(job in jobs for job, _ in machine.attempts) or any(
-            stray[0] in jobs for stray in machine.strays
-        )
-
 
 def _words(kind: Kind) -> tuple[str, str, str]:
     return kind.build, kind.yard, "yes" if kind.loaner else "no"
--- a/spoolcourse/control/net.py
+++ b/spoolcourse/control/net.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import sys
 import urllib.request  # noqa: F401  with `ssl`: what comes below must not leave it without
 from asyncio import selector_events
@@ -49,6 +50,13 @@
     body: bytes = b""
 
 
+def later(why: str, after: float = 1.0) -> Reply:
+    """Can't say now. The other side is told when to come back (30 s is the longest that
+    counts)."""
+    seconds = max(1, min(30, math.ceil(after)))
+    return Reply(503, {"error": why}, {"Retry-After": str(seconds)})
+
+
 class Net(Protocol):
     async def call(
         self,
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -212,7 +212,8 @@
         )
         job.claim = job.guaranteed or sub.lane in self._prompt_lanes
         if work.bad_machines:
-            job.avoid = frozenset(number_of[m] for m in work.bad_machines if m in number_of)
+            bad = [m for m, until in work.bad_machines.items() if until > now]
+            job.avoid = frozenset(number_of[m] for m in bad if m in number_of)
         if sub.oneZone or sub.scatter:
             for attempt in work.attempts.values():
                 machine = self._roster.machines.get(attempt.machine)
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -17,12 +17,14 @@
 from spoolcourse.control.jobs.records import JobRecord, Progress
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.jobs.writer import Writer
+from spoolcourse.control.leadership.currency import Currency
 from spoolcourse.control.leadership.election import Leadership, Office
+from spoolcourse.control.leadership.inquiry import Inquiry
 from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud
 from spoolcourse.control.machines.keeper import Keeper, Kind
 from spoolcourse.control.machines.planner import Offer, plan_hires, top_up
-from spoolcourse.control.net import Net, Reply
+from spoolcourse.control.net import Net, Reply, later
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Plan, Snapshot
 from spoolcourse.control.placement.preempt import choose_victims
@@ -32,7 +34,7 @@
 from spoolcourse.control.store.mirror import Mirror
 from spoolcourse.policy.keys import PolicySource
 from spoolcourse.wire.messages import Build, Host, Report
-from spoolcourse.wire.settings import Params
+from spoolcourse.wire.settings import Params, Seed
 
 log = logging.getLogger(__name__)
 
@@ -47,6 +49,7 @@
         book: Book,
         net: Net,
         cloud: Cloud,
+        seeds: list[Seed],
         params: Params,
         policy_source: PolicySource,
         builds: Callable[[], dict[str, Build]],
@@ -66,6 +69,18 @@
         self._builds = builds
         self._wall = wall
         self._clock = asyncio.get_running_loop().time
+        self.currency = Currency(params.workers)
+        self._renews = True
+        self._inquiry = Inquiry(
+            net,
+            seeds,
+            office,
+            mirror,
+            book,
+            self.currency,
+            self._clock,
+            leadership.depose,
+        )
         self._attempts = 0
         self._heard_direct = self._clock()
         self._wake = asyncio.Event()
@@ -108,6 +123,7 @@
 
     def start(self) -> None:
         self._spawn(self._take_over())
+        self._spawn(self._inquiry.run())
 
     def stop(self) -> None:
         for task in self._tasks:
@@ -174,6 +190,18 @@
     def _may_start(self) -> bool:
         return self._leadership.valid()
 
+    def _may_renew(self) -> bool:
+        self.currency.synced(self._mirror.synced_at)
+        may = self.currency.may_renew(self._clock())
+        if may != self._renews:
+            self._renews = may
+            log.warning(
+                "workers are answered again"
+                if may
+                else "workers are not answered: others may have confirmed cancellations"
+            )
+        return may
+
     def _over(self, job: str) -> bool:
         """True if the job can't be live: every start was preceded by its record."""
         return self.ready.is_set() and job not in self._book.live and job not in self.works.jobs
@@ -241,9 +269,13 @@
         was_aborted = work.record.aborted
         work.record = record
         if record.aborted and not was_aborted:
+            work.cancelled_known_at = self._clock()
             for attempt in list(work.attempts.values()):
                 if attempt.never_sent:
                     self.roster.drop(attempt)  # never sent, and won't be
+                else:
+                    self.roster.halt(attempt)
+            self.courier.wake.set()
             self.works.check(work)
 
     # -- workers ------------------------------------------------------------------------
@@ -258,6 +290,11 @@
             return Reply(421, {})  # the worker goes on to the next node
         if not self.ready.is_set():
             return Reply(503, {"error": "taking over"})
+        if not self._may_renew():
+            # What others have confirmed as cancelled must be gone in time, though this node
+            # can't hear of it: from here on the leases run out.
+            self.roster.overhear(report)
+            return later("may not know of cancellations")
         with self._load.spent("report"):
             orders = self.roster.accept(report)
         if direct and orders is not None:
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -13,12 +13,14 @@
 
 from spoolcourse.control import view
 from spoolcourse.control.fleet.relay import Relay
-from spoolcourse.control.intake.api import PATH, Intake, later
+from spoolcourse.control.intake.api import PATH, Intake
 from spoolcourse.control.jobs.book import Book
 from spoolcourse.control.leadership.election import Leadership, Office
+from spoolcourse.control.leadership.inquiry import PATH as CANCELLATIONS
+from spoolcourse.control.leadership.inquiry import testify
 from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacity
-from spoolcourse.control.net import Net, NetError, Reply, Request
+from spoolcourse.control.net import Net, NetError, Reply, Request, later
 from spoolcourse.control.reign import Reign
 from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
 from spoolcourse.control.store.keys import CATALOG, PREFIX
@@ -119,6 +121,7 @@
             self.book,
             self._net,
             self.cloud,
+            self._settings.seeds,
             self._settings.settings,
             self._policy,
             lambda: self.builds,
@@ -223,7 +226,12 @@
 
     def peers(self, request: Request) -> Reply | Awaitable[Reply]:
         """Other controllers, whose requests go no further, and operators."""
-        path = request.path.partition("?")[0]
+        path, _, query = request.path.partition("?")
+        if path == CANCELLATIONS and request.method == "GET":
+            try:
+                return Reply(200, testify(self.book, self.mirror, query))
+            except Malformed as exc:
+                return Reply(400, {"error": str(exc)})
         if path == "/healthz":
             return Reply(200 if self.ready else 503, {})
         if path == "/v1/report" and request.method == "POST":
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -16,11 +16,12 @@
 
 class FakeWire:
     """All hosts. A filter may answer `cut`, `lose` (carried out, answer lost), `hold`
-    (delivered when `release` is called, long after the caller gave up) or `503`."""
+    (delivered when `release` is called, long after the caller gave up), `404` or `503`."""
 
     def __init__(self, delay: float = 0.002) -> None:
         self.hosts: dict[str, Endpoint] = {}
         self.filters: list[Filter] = []
+        self.stalled: set[tuple[str, str]] = set()  # open watches wait
         self.held: list[tuple[str, str, str, Any]] = []
         self.delay = delay
 
@@ -35,8 +36,8 @@
         self, src: str, dst: str, method: str, path: str, body: Any, timeout: float
     ) -> Reply:
         verdict = self.verdict(src, dst, method, path, body)
-        if verdict == "503":
-            return Reply(503, {"error": "trouble"})
+        if verdict in ("404", "503"):
+            return Reply(int(verdict), {"error": "trouble"})
         if verdict == "hold":
             self.held.append((dst, method, path, body))
         endpoint = self.hosts.get(dst)
@@ -47,6 +48,8 @@
         try:
             async with asyncio.timeout(timeout):
                 reply = await endpoint(method, path, body)
+                while (src, dst) in self.stalled and path.startswith("/watch"):
+                    await asyncio.sleep(0.05)
         except TimeoutError as exc:
             raise NetError(f"{src} -> {dst}: no answer") from exc
         if verdict == "lose":
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -36,6 +36,15 @@
         self.tick = 0
 
     def report(self, *pieces: dict[str, Any], **fields: Any) -> list[dict[str, Any]] | None:
+        return self.roster.accept(self._made(pieces, fields))
+
+    def observed(self, *pieces: dict[str, Any], **fields: Any) -> Report:
+        """A report that comes as the answer to a call."""
+        report = self._made(pieces, fields)
+        self.roster.observe(report)
+        return report
+
+    def _made(self, pieces: tuple[dict[str, Any], ...], fields: dict[str, Any]) -> Report:
         self.tick += 1
         data = {
             "spindle": "m-1",
@@ -48,7 +57,7 @@
             "baton": TERM,
             "pieces": list(pieces),
         } | fields
-        return self.roster.accept(parse(data, Report))
+        return parse(data, Report)
 
     def assign(self, piece: int = 0, number: int = 1, saved: bool = True) -> Attempt:
         attempt = self.works.assign(self.work, piece, "m-1", number, self.now)
--- /dev/null
+++ b/tests/test_gap.py
@@ -0,0 +1,288 @@
+"""The gap: the state service refuses the leader alone, others confirm cancellations, and then
+nobody reaches it for longer than `cancel_s`."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from spoolcourse.control.jobs.cancellations import Cancellation, Cancellations
+from spoolcourse.control.leadership.currency import Currency
+from spoolcourse.wire.settings import Workers
+from tests.fakes.clock import play
+from tests.fakes.world import LABELS, World, job
+
+CANCEL_S = 40.0
+
+
+class Gap:
+    """A world with a job of four tasks on each of some machines, and its leader."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.leader = str(world.leader)
+        self.others = [n for n in LABELS if n != self.leader]
+        self.cancelled_at = 0.0
+
+    @classmethod
+    async def begin(cls, jobs: int = 2) -> Gap:
+        world = World()
+        world.cloud.run_s = lambda task: 300.0
+        world.cloud.capacity = 4
+        await world.up_with_machine()
+        for number in range(1, jobs + 1):
+            await world.submit(job(number))
+        await world.until(lambda: len(world.cloud.starts) == 4 * jobs, 60)
+        await asyncio.sleep(3)
+        return cls(world)
+
+    def apart(self, node: str, *others: str) -> Any:
+        """Nothing passes between the node and the others, either way. `m-`: all machines."""
+
+        def check(src: str, dst: str, *rest: Any) -> str | None:
+            ends = {src, dst.split(":")[0]}
+            return "cut" if node in ends and any(e.startswith(others) for e in ends) else None
+
+        self.world.wire.filters.append(check)
+        return check
+
+    def refuse(self, node: str) -> Any:
+        """The state service refuses this node alone; its open watches wait meanwhile."""
+
+        def check(src: str, dst: str, *rest: Any) -> str | None:
+            return "503" if (src, dst) == (node, "state:1") else None
+
+        self.world.wire.filters.append(check)
+        self.world.wire.stalled.add((node, "state:1"))
+        return check
+
+    async def cancel(self, number: int = 1, through: str | None = None) -> None:
+        reply = await self.world.cancel(number, through or self.others[0])
+        assert (reply.status, reply.data["stage"]) == (200, "aborted")
+        self.cancelled_at = self.world.now()
+
+    async def open(self, number: int = 1, through: str | None = None) -> None:
+        """Refused alone, a cancellation through another, and the outage for all."""
+        refused = self.refuse(self.leader)
+        await asyncio.sleep(0.5)
+        await self.cancel(number, through)
+        self.world.state.out = True
+        self.world.wire.filters.remove(refused)
+
+    def close(self) -> None:
+        self.world.state.end_outage()
+        self.world.wire.stalled.clear()
+
+    async def gone_in_time(self, number: int = 1) -> None:
+        name = f"job-{number:06d}"
+        left = self.cancelled_at + CANCEL_S - self.world.now()
+        await self.world.until(lambda: not self.world.cloud.on_machines(name), left)
+
+    async def hold_on(self, until_s: float) -> None:
+        """Until so long after the cancellation."""
+        await asyncio.sleep(self.cancelled_at + until_s - self.world.now())
+
+
+def test_the_gap_ends_what_is_cancelled_and_nothing_else() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        await gap.open()
+        await gap.gone_in_time()
+        await gap.hold_on(60)
+        gap.close()
+        await asyncio.sleep(10)
+        cloud = gap.world.cloud
+        assert len(cloud.on_machines("job-000002")) == 4 and len(cloud.starts) == 8
+        for label in LABELS:
+            assert (await gap.world.poll(1, label)).data["stage"] == "aborted"
+        assert cloud.broken == []
+
+    play(story())
+
+
+def test_the_gap_with_the_peers_cut_off_too() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        cut = gap.apart(gap.leader, *gap.others)
+        await gap.open()
+        # Nobody can tell the leader: it lets all leases run out, the cancelled job's too.
+        await gap.hold_on(20)
+        assert len(gap.world.cloud.on_machines("job-000002")) == 4, "not sooner than needed"
+        await gap.gone_in_time()
+        await gap.hold_on(60)
+        gap.close()
+        gap.world.wire.filters.remove(cut)
+        await gap.world.until(lambda: len(gap.world.cloud.on_machines("job-000002")) == 4, 60)
+        assert gap.world.cloud.on_machines("job-000001") == []
+        assert gap.world.cloud.broken == []
+
+    play(story())
+
+
+@pytest.mark.parametrize("after", [0.3, 20.0])
+def test_the_gap_with_the_one_peer_that_knows_restarted_in_it(after: float) -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        knows, ignorant = gap.others
+        gap.refuse(ignorant)  # it has not seen the cancellation itself
+        cut = gap.apart(gap.leader, knows)
+        await gap.open(through=knows)
+        await asyncio.sleep(after)
+        gap.world.kill(knows)
+        await asyncio.sleep(0.4)
+        gap.world.start(knows)
+        gap.world.wire.filters.remove(cut)
+        await gap.gone_in_time()
+
+    play(story())
+
+
+def test_the_gap_with_a_peer_too_old_to_know_the_question() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        gap.world.wire.filters.append(
+            lambda src, dst, method, path, body: (
+                "404" if dst == f"{gap.others[0]}:81" and path.startswith("/cancel") else None
+            )
+        )
+        gap.refuse(gap.others[1])
+        await gap.open(through=gap.others[0])
+        await gap.gone_in_time()
+
+    play(story())
+
+
+def test_relayed_reports_renew_no_longer_than_others() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        gap.apart(gap.leader, "m-")
+        # The followers pass reports on; what they know of cancellations doesn't get through.
+        gap.world.wire.filters.append(
+            lambda src, dst, method, path, body: "cut" if path.startswith("/cancel") else None
+        )
+        await asyncio.sleep(20)
+        assert len(gap.world.cloud.on_machines("job-000001")) == 4
+        await gap.open()
+        await gap.gone_in_time()
+
+    play(story())
+
+
+def test_two_gaps_in_a_row() -> None:
+    async def story() -> None:
+        gap = await Gap.begin(3)
+        for number in (1, 2):
+            await gap.open(number)
+            await gap.gone_in_time(number)
+            await gap.hold_on(50)
+            gap.close()
+            await asyncio.sleep(3)
+            gap = Gap(gap.world)
+        assert len(gap.world.cloud.on_machines("job-000003")) == 4
+        assert len(gap.world.cloud.starts) == 12 and gap.world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_leader_that_stood_still_renews_nothing_before_it_knows() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        world = gap.world
+        name, worker = next(iter(world.cloud.workers.items()))
+        old = world.nodes[gap.leader]
+        assert old.reign is not None and worker.baton == old.reign.roster.term
+        gap.apart(gap.leader, *gap.others, "state", "cloud", "m-")
+        world.wire.stalled.add((gap.leader, "state:1"))
+        await gap.cancel()
+        await gap.hold_on(35)
+        # A worker's report that its successor's baton has not reached comes before anything else.
+        body = worker.report() | {"baton": old.reign.roster.term}
+        reply = await world.ask(gap.leader, "POST", "/v1/report", body)
+        assert (reply.status, "baton" in (reply.data or {})) == (503, False)
+        assert int(reply.headers["Retry-After"]) >= 1
+
+    play(story())
+
+
+def test_running_work_survives_an_outage_longer_than_cancel_s() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        gap.world.state.out = True
+        await asyncio.sleep(3 * CANCEL_S)
+        gap.close()
+        await asyncio.sleep(5)
+        for number in (1, 2):
+            assert len(gap.world.cloud.on_machines(f"job-{number:06d}")) == 4
+        assert len(gap.world.cloud.starts) == 8
+        assert {w.shift for w in gap.world.cloud.workers.values()} == {1}
+
+    play(story())
+
+
+@pytest.mark.parametrize("way", ["deaf", "mute", "hung"])
+def test_a_cancellation_learned_late_on_a_machine_that_cannot_be_told(way: str) -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        world = gap.world
+        cut = gap.apart(gap.leader, *gap.others)
+        await gap.open()
+        await gap.hold_on(31)
+        for name in list(world.cloud.workers):
+            if way == "hung":
+                world.cut_off(name)
+            elif way == "mute":
+                world.wire.filters.append(
+                    lambda src, dst, *rest, name=name: "cut" if src == name else None
+                )
+            else:
+                world.wire.filters.append(
+                    lambda src, dst, *rest, name=name: (
+                        "lose" if src == name else "cut" if dst == f"{name}:9000" else None
+                    )
+                )
+        await asyncio.sleep(1)
+        world.wire.filters.remove(cut)  # now it hears of it
+        await gap.gone_in_time()
+        await asyncio.sleep(20)
+        assert world.cloud.on_machines("job-000001") == []
+
+    play(story())
+
+
+def test_a_leader_refused_alone_hears_of_its_successor_from_a_peer() -> None:
+    async def story() -> None:
+        gap = await Gap.begin()
+        old = gap.world.nodes[gap.leader]
+        gap.refuse(gap.leader)
+        gap.apart(gap.leader, "m-")  # no worker tells it
+        await gap.world.until(lambda: old.reign is None, 10)
+        assert any(gap.world.nodes[n].reign for n in gap.others)
+
+    play(story())
+
+
+def test_how_long_leases_may_be_renewed() -> None:
+    currency = Currency(Workers(report_s=1.5, lease_s=10.0, cancel_s=40.0))
+    assert not currency.may_renew(0.0)
+    currency.synced(100.0)
+    currency.synced(90.0)
+    assert currency.known_to == 100.0
+    last = 100.0 + currency.window_s
+    assert currency.may_renew(last) and not currency.may_renew(last + 0.01)
+    # Whoever was answered last is rid of everything in time, both clocks at their worst.
+    assert last + 10.0 * 1.0005 < 100.0 + 40.0 * 0.9995 - 1.0
+    assert not currency.vouched(130.0, [True, False])
+    assert currency.known_to == 100.0
+    assert currency.vouched(130.0, [True, True]) and currency.known_to == 130.0
+    assert currency.vouched(140.0, []), "nobody else could have confirmed anything"
+
+
+def test_a_node_that_forgot_cancellations_says_so() -> None:
+    known = Cancellations(most=2)
+    for stamp in (5, 7, 9):
+        known.note(Cancellation(f"job-{stamp:06d}", 1.0, stamp))
+    assert known.beyond(4) is None
+    assert [c.stamp for c in known.beyond(5) or []] == [7, 9]
+    assert [c.stamp for c in known.beyond(7) or []] == [9]
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -392,7 +392,7 @@
         slow._client.grant = overtaken  # type: ignore[method-assign]
         await slow._stand()
         assert quick.office is not None and slow.office is None
-        assert state.value(TERM) == {"term": 1, "run": "run-n1"}
+        assert state.value(TERM) == {"term": 1, "run": "run-n1", "hold": quick.office.lease}
 
     play(story())
 
