--- a/spoolcourse/control/intake/api.py
+++ b/spoolcourse/control/intake/api.py
@@ -33,6 +33,11 @@
 log = logging.getLogger(__name__)
 
 PATH = "/submissions"
+# Users wait 5 s for an answer, and 2 s for one to a poll; this node itself tries first.
+OWN_TRY_S = 3.0
+ASK_PEER_S = 1.0
+ASK_PEERS_S = 1.5
+ASK_PEERS_POLL_S = 0.6
 
 
 class Unable(Exception):
@@ -74,7 +79,7 @@
             if reply.status != 503:
                 return reply
         try:
-            async with asyncio.timeout(3.0):
+            async with asyncio.timeout(OWN_TRY_S):
                 if not parts and request.method == "POST":
                     return await self._submit(request.body)
                 if len(parts) == 1 and parts[0] and request.method == "GET":
@@ -88,12 +93,22 @@
         return Reply(404, {"error": "no such resource"})
 
     async def _pass_on(self, request: Request, after: float) -> Reply:
-        """Perhaps only this node lost the state service: a peer may still be served."""
+        """Perhaps only this node lost the state service: a peer may still be served. Peers
+        that hang, as behind a cut, must not use up the time that the user waits."""
         foreman = self._foreman()
+        clock = asyncio.get_running_loop().time
+        until = clock() + (ASK_PEERS_POLL_S if request.method == "GET" else ASK_PEERS_S)
         for seed in sorted(self._seeds, key=lambda s: s.label != foreman):
+            left = until - clock()
+            if left <= 0:
+                break
             try:
                 reply = await self._net.call(
-                    seed.endpoint, request.method, request.path, request.body or None, timeout=1.0
+                    seed.endpoint,
+                    request.method,
+                    request.path,
+                    request.body or None,
+                    timeout=min(left, ASK_PEER_S),
                 )
             except NetError:
                 continue
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -176,6 +176,7 @@
         self.run_s: Callable[[str], float] = lambda task: 10.0
         self.cause: Callable[[FakeWorker, Task], str] = lambda worker, task: "done"
         self.broken: list[str] = []
+        self.on_start: Callable[[FakeWorker, Task], None] = lambda worker, task: None
         self.starts: list[tuple[float, str, str]] = []
         self.never_up: set[str] = set()
 
@@ -185,6 +186,7 @@
             for found in other.tasks.values():
                 if found is not task and found.name == task.name and found.on:
                     self.broken.append(f"{task.name} ran twice: {worker.name}, {other.name}")
+        self.on_start(worker, task)
 
     def on_machines(self, job: str) -> list[str]:
         return [
--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from itertools import cycle
 from typing import Any
 
 import orjson
@@ -16,7 +17,8 @@
 
 class FakeWire:
     """All hosts. A filter may answer `cut`, `lose` (carried out, answer lost), `hold`
-    (delivered when `release` is called, long after the caller gave up), `404` or `503`."""
+    (delivered when `release` is called, long after the caller gave up), `late` (the same by
+    itself, after one of `late_s` in turn), `404` or `503`."""
 
     def __init__(self, delay: float = 0.002) -> None:
         self.hosts: dict[str, Endpoint] = {}
@@ -24,6 +26,7 @@
         self.stalled: set[tuple[str, str]] = set()  # open watches wait
         self.held: list[tuple[str, str, str, Any]] = []
         self.delay = delay
+        self.late_s = cycle((2.0, 7.5, 3.1, 12.0, 4.7))
 
     def verdict(self, src: str, dst: str, method: str, path: str, body: Any) -> str | None:
         for check in self.filters:
@@ -40,8 +43,10 @@
             return Reply(int(verdict), {"error": "trouble"})
         if verdict == "hold":
             self.held.append((dst, method, path, body))
+        if verdict == "late":
+            asyncio.create_task(self._late(next(self.late_s), dst, method, path, body))
         endpoint = self.hosts.get(dst)
-        if endpoint is None or verdict in ("cut", "hold"):
+        if endpoint is None or verdict in ("cut", "hold", "late"):
             await asyncio.sleep(timeout)
             raise NetError(f"{src} -> {dst}: no answer")
         await asyncio.sleep(self.delay)
@@ -58,6 +63,12 @@
         await asyncio.sleep(self.delay)
         return reply
 
+    async def _late(self, after: float, dst: str, method: str, path: str, body: Any) -> None:
+        await asyncio.sleep(after)
+        endpoint = self.hosts.get(dst)
+        if endpoint is not None:
+            await endpoint(method, path, body)
+
     async def release(self) -> list[Reply]:
         held, self.held = self.held, []
         return [await self.hosts[dst](method, path, body) for dst, method, path, body in held]
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -11,7 +11,7 @@
 from spoolcourse.control.service import Controller
 from spoolcourse.policy.keys import check_policy
 from spoolcourse.wire.settings import Settings, parse_settings
-from tests.fakes.cloud import FakeCloud
+from tests.fakes.cloud import FakeCloud, FakeWorker, Task
 from tests.fakes.net import FakeWire
 from tests.fakes.state import FakeState
 
@@ -76,6 +76,69 @@
         self.wire.hosts["cloud:1"] = self.cloud.serve
         self.nodes: dict[str, Controller] = {}
         self.runs = 0
+        self.jobs: dict[str, dict[str, Any]] = {}  # accepted ones
+        self.told: dict[str, str] = {}  # the final state that a user was told
+        self.cancelled: dict[str, float] = {}  # when a user was told so
+        self.late_starts: list[str] = []  # after a confirmed cancellation
+        self.cloud.on_start = self._on_start
+        self._watcher: asyncio.Task[None] | None = None
+
+    # -- the rules -----------------------------------------------------------------------
+
+    def _broken(self, what: str) -> None:
+        self.cloud.broken.append(what)
+
+    def _on_start(self, worker: FakeWorker, task: Task) -> None:
+        """Limits, zones and cancellations, at each start."""
+        name = task.name.split("/")[0]
+        body = self.jobs.get(name)
+        if body is None:
+            return
+        on: list[tuple[str, str]] = [
+            (t.name.split("/")[0], w.host["yard"])
+            for w in self.cloud.workers.values()
+            for t in w.tasks.values()
+            if t.on
+        ]
+        limits = {"red": 64.0, "blue": 32.0}
+        used = sum(
+            other["vcpus"]
+            for job, _ in on
+            if (other := self.jobs.get(job)) and other["crew"] == body["crew"]
+        )
+        if used > limits[body["crew"]]:
+            self._broken(f"{task.name}: {body['crew']} uses {used}")
+        yards = [yard for job, yard in on if job == name]
+        if body["oneZone"] and len(set(yards)) > 1:
+            self._broken(f"{task.name}: two zones")
+        if body["scatter"] and yards.count(worker.host["yard"]) > -(-body["pieces"] // 2):
+            self._broken(f"{task.name}: too many in {worker.host['yard']}")
+        if name in self.cancelled:
+            self.late_starts.append(task.name)
+
+    async def _watch_cancelled(self) -> None:
+        while True:
+            await asyncio.sleep(0.5)
+            for name, at in self.cancelled.items():
+                if self.now() - at > 40.0 and self.cloud.on_machines(name):
+                    self._broken(f"{name}: still there {self.now() - at:.1f} s after")
+
+    def _heard(self, method: str, path: str, body: Any, reply: Reply) -> None:
+        """What users are told never goes back."""
+        if path == "/submissions" and reply.status == 201:
+            self.jobs[body["id"]] = body
+        name = reply.data.get("id") if isinstance(reply.data, dict) else None
+        if reply.status == 404 and method == "GET" and path.split("/")[-1] in self.jobs:
+            self._broken(f"{path}: forgotten")
+        if reply.status not in (200, 201) or name is None:
+            return
+        stage, before = reply.data["stage"], self.told.get(name)
+        if before not in (None, stage):
+            self._broken(f"{name}: {before}, then {stage}")
+        if stage in ("done", "aborted"):
+            self.told[name] = stage
+        if stage == "aborted":
+            self.cancelled.setdefault(name, self.now())
 
     def now(self) -> float:
         return asyncio.get_running_loop().time()
@@ -130,6 +193,8 @@
 
     async def up(self) -> None:
         self.start()
+        if self._watcher is None:
+            self._watcher = asyncio.create_task(self._watch_cancelled())
         await self.until(lambda: self.leader and all(c.ready for c in self.nodes.values()), 20)
 
     async def up_with_machine(self) -> str:
@@ -141,9 +206,11 @@
 
     async def ask(self, label: str, method: str, path: str, body: Any = None) -> Reply:
         try:
-            return await self.wire.call("user", f"{label}:80", method, path, body, 5.0)
+            reply = await self.wire.call("user", f"{label}:80", method, path, body, 5.0)
         except NetError:
             return Reply(0)
+        self._heard(method, path, body, reply)
+        return reply
 
     async def submit(self, body: Any, label: str = "n0") -> Reply:
         return await self.ask(label, "POST", "/submissions", body)
--- a/tests/test_stories.py
+++ b/tests/test_stories.py
@@ -466,3 +466,21 @@
         assert (await world.poll(1)).data["stage"] == "queued"
 
     play(story())
+
+
+def test_a_node_that_cannot_know_says_so_within_the_time_that_users_wait() -> None:
+    # Its peers hang, as behind a cut: each of them was given a second, and users had left.
+    async def story() -> None:
+        world = World()
+        await world.up()
+        await world.submit(job(), "n1")
+        await asyncio.sleep(3)
+        world.wire.filters.append(lambda src, dst, *rest: "cut" if src == "n0" else None)
+        await asyncio.sleep(12)
+        for ask, limit in ((world.submit(job(2)), 5.0), (world.poll(1), 2.0)):
+            began = world.now()
+            reply = await ask
+            assert (reply.status, world.now() - began < limit) == (503, True)
+            assert 1 <= int(reply.headers["Retry-After"]) <= 30
+
+    play(story())
