--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -26,6 +26,7 @@
         self.stalled: set[tuple[str, str]] = set()  # open watches wait
         self.held: list[tuple[str, str, str, Any]] = []
         self.delay = delay
+        self.on_late: Callable[[Any, Reply], None] = lambda body, reply: None
         self.late_s = cycle((2.0, 7.5, 3.1, 12.0, 4.7))
 
     def verdict(self, src: str, dst: str, method: str, path: str, body: Any) -> str | None:
@@ -67,7 +68,8 @@
         await asyncio.sleep(after)
         endpoint = self.hosts.get(dst)
         if endpoint is not None:
-            await endpoint(method, path, body)
+            reply = await endpoint(method, path, body)
+            self.on_late(body, reply)
 
     async def release(self) -> list[Reply]:
         held, self.held = self.held, []
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -9,7 +9,17 @@
 
 from spoolcourse.control.leadership.election import Leadership
 from spoolcourse.control.store.client import StoreClient, Unclear
-from spoolcourse.control.store.keys import LEADER, PREFIX
+from spoolcourse.control.store.keys import (
+    FINAL,
+    JOB,
+    LEADER,
+    PREFIX,
+    PROGRESS,
+    final_key,
+    job_key,
+    split_progress,
+)
+from spoolcourse.control.store.keys import TERM as TERM_KEY
 from spoolcourse.control.store.mirror import Mirror
 from spoolcourse.wire.settings import State
 from tests.fakes.clock import play
@@ -123,16 +133,42 @@
     return run()
 
 
-def late_writes(every: int) -> Any:
-    """Each so many-th transaction gets no answer and is carried out later."""
+def guarded(key: str) -> set[str]:
+    """Keys whose change makes a write of this one wrong."""
+    if key.startswith(PROGRESS):
+        return {key, job_key(split_progress(key)[0]), TERM_KEY}
+    if key.startswith(FINAL):
+        return {key, job_key(key[len(FINAL) :]), TERM_KEY}
+    return {key, final_key(key[len(JOB) :])} if key.startswith(JOB) else {key}
+
+
+def late_writes(world: World, every: int) -> Any:
+    """Each so many-th transaction gets no answer and is carried out later. If anything that
+    it depends on has changed since, deleted and made anew included, it must change nothing."""
     count = 0
+    sent: dict[int, int] = {}
+    bodies: list[Any] = []
+
+    def judge(body: Any, reply: Any) -> None:
+        needs = set().union(*(guarded(op.get("set") or op["delete"]) for op in body["apply"]))
+        since = sent[id(body)]
+        log = world.state.log[: -len(body["apply"])] if reply.status == 200 else world.state.log
+        changed = needs & {str(e.get("set") or e["delete"]) for e in log if e["stamp"] > since}
+        if changed and reply.status == 200:
+            world.cloud.broken.append(f"late and carried out although {changed} changed")
+
+    world.wire.on_late = judge
 
     def check(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
         nonlocal count
         if path != "/multi" or not body.get("apply"):
             return None
         count += 1
-        return "late" if count % every == 0 else None
+        if count % every:
+            return None
+        sent[id(body)] = world.state.ledger
+        bodies.append(body)  # or another one could be at its place in memory
+        return "late"
 
     return check
 
@@ -171,7 +207,7 @@
         world = World()
         world.cloud.run_s = lambda task: 6.0 + int(task[-1]) * 3.0
         await world.up()
-        world.wire.filters.append(late_writes(every))
+        world.wire.filters.append(late_writes(world, every))
         for number in range(1, 9):
             body = job(number, pieces=3, crew="blue" if number % 2 else "red")
             await insist(world, lambda label, body=body: world.submit(body, label))
