--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -301,6 +301,9 @@
         world = World()
         world.cloud.run_s = lambda task: 20.0
         await world.up()
+        for yard in ("a", "b"):  # each has room for half of the first job
+            world.cloud.add(yard)
+        await asyncio.sleep(4)
         await world.submit(job(1, pieces=8, oneZone=True))
         await world.submit(job(2, pieces=8, scatter=True))
         await world.submit(job(3, pieces=4, oneZone=True, yard="b", crew="blue"))
@@ -538,3 +541,36 @@
         assert len(world.cloud.on_machines("job-000002")) == 4
 
     play(story())
+
+
+@pytest.mark.parametrize("meanwhile", ["cancelled", "another leader", "ended"])
+def test_a_write_that_is_still_on_its_way_when_things_change(meanwhile: str) -> None:
+    # The key itself has not changed: what else the write depends on has.
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 4.0
+        await world.up_with_machine()
+        kind = FINAL if meanwhile == "ended" else PROGRESS
+
+        def hold(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+            puts = [op.get("set", "") for op in (body or {}).get("apply", [])]
+            return "hold" if any(key.startswith(kind) for key in puts) else None
+
+        world.wire.filters.append(hold)
+        await world.submit(job(pieces=2))
+        await asyncio.sleep(14 if meanwhile == "ended" else 3)
+        assert world.wire.held
+        if meanwhile == "another leader":
+            first = str(world.leader)
+            world.kill(first)
+            await world.until(lambda: world.leader not in (None, first), 10)
+        else:
+            assert (await world.cancel(1, "n1")).data["stage"] == "aborted"
+        late = await world.wire.release()
+        assert late and {reply.status for reply in late} == {409}
+        world.wire.filters.clear()
+        if meanwhile == "another leader":
+            world.start(first)
+        await ended(world, (1,))
+
+    play(story())
