Machines are rented only in zones that take more of the job

Cause: renting knew nothing of a spread job's zones. One that lost its machines in one zone had machines rented for it in the cheaper zone, idle there and returned, again and again, while it waited for ever.

--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -7,6 +7,8 @@
 
 from spoolcourse.control.placement.model import EPSILON, Job, Node, fit
 
+LONGEST_S = 3600.0
+
 
 @dataclass(frozen=True, slots=True)
 class Offer:
@@ -28,23 +30,33 @@
     count: int
 
 
-def _allowed(job: Job, kind: Offer | Node) -> bool:
-    return (
-        job.takes(kind.build, kind.loaner)
-        and job.zone in (None, kind.zone)
-        and not job.elsewhere(kind.zone)
-    )
+class _Zones:
+    """How many more of a job's pieces each zone takes, with those that are planned for it."""
+
+    def __init__(self, job: Job) -> None:
+        self._job = job
+        self._planned: dict[int, int] = {}
+
+    def room(self, zone: int) -> int:
+        if self._job.one_zone and any(z != zone for z in self._planned):
+            return 0
+        return max(0, self._job.zone_room(zone) - self._planned.get(zone, 0))
+
+    def plan(self, zone: int, count: int) -> None:
+        self._planned[zone] = self._planned.get(zone, 0) + count
 
 
-def _fill(job: Job, count: int, nodes: list[Node]) -> int:
+def _fill(job: Job, zones: _Zones, count: int, nodes: list[Node]) -> int:
     """Put pieces into machines that are on their way; what is left over."""
     for node in nodes:
         if count <= 0:
             break
-        if node.cpus + EPSILON >= job.cpus and _allowed(job, node):
-            taken = min(count, node.fit(job))
-            node.use(job, taken)
-            count -= taken
+        if node.cpus + EPSILON >= job.cpus and job.takes(node.build, node.loaner):
+            taken = min(count, node.fit(job), zones.room(node.zone))
+            if taken > 0:
+                node.use(job, taken)
+                zones.plan(node.zone, taken)
+                count -= taken
     return count
 
 
@@ -70,18 +82,26 @@
             served = min(count, math.floor(soon / job.cpus))
             soon -= served * job.cpus
             count -= served
-        count = _fill(job, count, coming)
+        # Machines in a zone that takes no more of the job would be rented again and again,
+        # while its pieces wait for ever: of one that is spread over zones, and lost machines
+        # in one of them.
+        zones = _Zones(job)
+        count = _fill(job, zones, count, coming)
         while count > 0 and sum(hires.values()) < most:
             best: tuple[float, Offer] | None = None
             for offer in offers:
-                if not _allowed(job, offer):
+                if not job.takes(offer.build, offer.loaner) or zones.room(offer.zone) < 1:
                     continue
                 if not offer.loaner and job.loaners and now < job.ordinary_at:
                     continue
-                slots = min(count, fit(offer.cpus, offer.gpus, offer.memory, job))
+                slots = min(
+                    count, fit(offer.cpus, offer.gpus, offer.memory, job), zones.room(offer.zone)
+                )
                 if slots < 1:
                     continue
-                cost = offer.price * (offer.boot_s + job.estimate) / slots
+                # A service runs for no known time: by price alone, nearly.
+                runs = min(job.estimate, LONGEST_S)
+                cost = offer.price * (offer.boot_s + runs) / slots
                 if best is None or cost < best[0]:
                     best = (cost, offer)
             if best is None:
@@ -99,7 +119,7 @@
                 pull_rate=0.0,
             )
             coming.append(fresh)
-            count = _fill(job, count, [fresh])
+            count = _fill(job, zones, count, [fresh])
     return [Hire(offer, count) for offer, count in hires.items()]
 
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -193,3 +193,18 @@
     assert stopped([mine], safe, over=(0.0, 9.0)) == []
     own = [node(0.0, tasks=[task(1, team=0)])]
     assert stopped([mine], own, over=(8.0, 0.0)) == []
+
+
+def test_machines_are_rented_in_zones_that_take_more_of_the_job() -> None:
+    # Two of a spread job's four pieces run in zone 0; what it lacks can't be started there, so
+    # machines there would be rented and returned for ever.
+    here, there = offer(0.5, False), Offer(0, 1, False, 8.0, 0.0, 64.0, 1.0, 20.0)
+    spread = job(2, spread=2, held={0: 2}, ordinary_at=0.0)
+    hires = plan_hires([(spread, 2)], [], [here, there], 100.0, [1000.0])
+    assert [(h.offer.zone, h.count) for h in hires] == [(1, 1)]
+    assert plan_hires([(spread, 2)], [], [here], 100.0, [1000.0]) == []
+    coming = [node(ready_at=110.0)]
+    assert [h.offer.zone for h in plan_hires([(spread, 2)], coming, [there], 100.0, [99.0])] == [1]
+    one = job(8, 2.0, one_zone=True, ordinary_at=0.0)
+    hires = plan_hires([(one, 8)], [], [here, there], 100.0, [1000.0])
+    assert [(h.offer.zone, h.count) for h in hires] == [(0, 2)]
