--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -71,6 +71,9 @@
     bad_machines: dict[str, float] = field(default_factory=dict)  # it failed there: until when
     final: bool = False  # the final state is durable
     waiting_since: float = 0.0
+    # Chunks made for a larger limit of the state service than the one to come never hold more
+    # than fits into that; what they hold beyond it ends by and by. None: made for it.
+    held_most: int | None = None
     cancelled_known_at: float = 0.0  # when this leader heard of it; only if it is cancelled
 
     @property
@@ -85,11 +88,37 @@
     def pending(self) -> int:
         return self.record.sub.pieces - self.done - len(self.attempts)
 
+    @property
+    def complete(self) -> bool:
+        """All its tasks run, and none is being stopped."""
+        return self.pending == 0 and all(
+            a.stage == "running" and not a.halting for a in self.attempts.values()
+        )
+
+    @property
+    def assignable(self) -> int:
+        """Pending pieces that may be assigned now: see `held_most`."""
+        if self.held_most is None:
+            return self.pending
+        size, pieces, total = self.record.chunk, self.record.sub.pieces, 0
+        for index in range(self.record.chunks):
+            here = min(size, pieces - index * size)
+            chunk = self.chunks.get(index)
+            if chunk is not None:
+                held = len(chunk.progress.held)
+                here -= held + chunk.progress.done.bit_count()
+                total += max(0, min(here, self.held_most - held))
+            else:
+                total += min(here, self.held_most)
+        return total
+
     @property
     def finished(self) -> bool:
         """Nothing is left to do but to write the final state."""
         if self.record.aborted:
             return not self.attempts
+        if self.record.sub.standing:
+            return False  # only its user ends it
         return self.done == self.record.sub.pieces
 
     def chunk(self, piece: int) -> Chunk:
@@ -105,6 +134,17 @@
 
     def candidates(self) -> Iterator[int]:
         """Pending pieces: those that lost an attempt first, then in order."""
+        if self.held_most is None:
+            yield from self._candidates()
+            return
+        held = {i: len(c.progress.held) for i, c in self.chunks.items()}
+        for piece in self._candidates():
+            index = piece // self.record.chunk
+            if held.get(index, 0) < self.held_most:
+                held[index] = held.get(index, 0) + 1
+                yield piece
+
+    def _candidates(self) -> Iterator[int]:
         yield from sorted(p for p in self.requeued if p not in self.attempts)
         piece = self.fresh
         while piece < self.record.sub.pieces:
@@ -121,7 +161,8 @@
 class Works:
     """All live jobs of the term, with the chunks that wait to be saved."""
 
-    def __init__(self) -> None:
+    def __init__(self, chunk_pieces: int | None = None) -> None:
+        self._chunk_pieces = chunk_pieces
         self.jobs: dict[str, Work] = {}
         self.dirty: dict[tuple[str, int], Chunk] = {}
         # Those of the dirty ones that hold back starts: they are written first. Results
@@ -188,8 +229,8 @@
 
     def complete(self, work: Work, piece: int) -> None:
         """The piece's result exists. Its attempt, if it is the one that ended, is dropped
-        by the caller."""
-        if work.is_done(piece):
+        by the caller. A replica of a service has none, however it ended."""
+        if work.record.sub.standing or work.is_done(piece):
             return
         chunk = work.chunk(piece)
         chunk.progress.done |= 1 << (piece % work.record.chunk)
@@ -204,11 +245,16 @@
             self.on_dirty()
 
     def add(self, record: JobRecord, now: float) -> Work:
-        work = Work(record, waiting_since=now, cancelled_known_at=now)
-        self.jobs[work.id] = work
+        work = self._begin(record, now)
         self.check(work)
         return work
 
+    def _begin(self, record: JobRecord, now: float) -> Work:
+        work = self.jobs[record.sub.id] = Work(record, waiting_since=now, cancelled_known_at=now)
+        if self._chunk_pieces is not None and record.chunk > self._chunk_pieces:
+            work.held_most = self._chunk_pieces
+        return work
+
     def remove(self, work: Work) -> None:
         work.final = True
         for attempt in work.attempts.values():
@@ -222,8 +268,7 @@
         self, record: JobRecord, now: float, saved: dict[int, tuple[Progress, int]]
     ) -> Work:
         """Rebuild from the records; attempts are open until their machines have spoken."""
-        work = Work(record, waiting_since=now, cancelled_known_at=now)
-        self.jobs[work.id] = work
+        work = self._begin(record, now)
         for index, (progress, stamp) in saved.items():
             work.chunks[index] = Chunk(index, progress, stamp)
             work.done += progress.done.bit_count()
--- a/spoolcourse/control/jobs/writer.py
+++ b/spoolcourse/control/jobs/writer.py
@@ -97,7 +97,13 @@
                 self._works.forget(job, index)
                 continue
             value = chunk.progress.value()
-            size += len(orjson.dumps(value)) + 300
+            length = len(orjson.dumps(value))
+            if length > self._client.value_bytes:
+                # Made for a limit that has dropped: the results stay with the workers until
+                # what it holds has ended and it fits. It comes back with its next change.
+                self._works.forget(job, index)
+                continue
+            size += length + 300
             if ops and (size > TXN_BYTES or len(ops) >= self._client.ops_most):
                 break
             put = Put(progress_key(job, index), value)
--- a/spoolcourse/control/store/client.py
+++ b/spoolcourse/control/store/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
@@ -11,6 +12,8 @@
 from spoolcourse.control.store.budget import Bucket, Busy
 from spoolcourse.wire.settings import State
 
+log = logging.getLogger(__name__)
+
 PAGE = 1000
 SUSPECT_S = 0.5
 
@@ -21,6 +24,10 @@
     after = 1.0  # seconds until it is worth another try
 
 
+class TooLarge(Refused):
+    """The state service will never carry it out as it is: a limit was lowered."""
+
+
 class Unclear(Exception):
     """The request may have been carried out, or may still be."""
 
@@ -91,10 +98,13 @@
 class StoreClient:
     """Requests to the state service within this node's share of its limits."""
 
-    def __init__(self, net: Net, addr: str, limits: State, nodes: int, timeout: float = 1.0):
+    def __init__(self, net: Net, addr: str, state: State, nodes: int, timeout: float = 1.0):
         self._net = net
         self._addr = addr
-        self.limits = limits
+        # Limits may drop at any moment: all that is new keeps to the smaller ones. Only values
+        # of before may still be larger, as long as that is seen to be allowed.
+        self.limits = limits = state.least
+        self.value_bytes = int(state.value_kb * 1024)
         self.timeout = timeout
         # The limits are for all nodes together. The leader writes most, so its share of
         # writes is larger; shares add up to less than the whole.
@@ -130,7 +140,7 @@
     @property
     def ops_most(self) -> int:
         """Puts and deletes in one transaction: no more than can be had at once."""
-        return max(3, min(self.limits.txn_ops, int(self._writes.burst)))
+        return min(self.limits.txn_ops, max(3, int(self._writes.burst)))
 
     def writes_to_spare(self) -> bool:
         return self._writes.spare()
@@ -211,6 +221,11 @@
             return Outcome(False, reply.data["ledger"], tuple(reply.data["failed"]))
         if reply.status == 400 and reply.data and reply.data.get("error") == "no such lease":
             raise LeaseGone
+        if reply.status == 400 and self.value_bytes > self.limits.value_kb * 1024:
+            # What was written while the former limit held may be larger than the one to come.
+            log.info("the state service's lower limits hold from now on")
+            self.value_bytes = int(self.limits.value_kb * 1024)
+            raise TooLarge(f"txn: status 400: {reply.data}")
         raise Refused(f"txn: status {reply.status}: {reply.data}")
 
     async def grant(self, ttl_s: float) -> int:
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -57,11 +57,34 @@
         return 3 * self.report_s + 1.0
 
 
+class NextLimits(msgspec.Struct, frozen=True):
+    """Limits of the state service that will hold from some moment on, without notice."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Count | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Count
+    next: NextLimits | None = None
+
+    @property
+    def least(self) -> State:
+        """The smaller of the limits that hold and those to come: nobody says when they do."""
+        if self.next is None:
+            return self
+        coming = self.next
+        return State(
+            min(self.rps, coming.rps or self.rps),
+            min(self.write_rps, coming.write_rps or self.write_rps),
+            min(self.value_kb, coming.value_kb or self.value_kb),
+            min(self.txn_ops, coming.txn_ops or self.txn_ops),
+        )
 
 
 class Cloud(msgspec.Struct, frozen=True):
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -12,7 +12,7 @@
 from spoolcourse.control.store.keys import PREFIX, TERM, job_key
 from spoolcourse.control.store.mirror import Mirror
 from spoolcourse.wire.messages import Submission, parse
-from spoolcourse.wire.settings import State
+from spoolcourse.wire.settings import NextLimits, State
 from tests.fakes.clock import play
 from tests.fakes.net import FakeWire
 from tests.fakes.state import FakeState
@@ -60,3 +60,38 @@
         running.cancel()
 
     play(story())
+
+
+def test_a_value_that_fits_no_more_is_not_tried_again_and_again() -> None:
+    async def story() -> None:
+        state, wire, works = FakeState(), FakeWire(), Works()
+        wire.hosts["state:1"] = state.serve
+        limits = State(200.0, 100.0, 8.0, 24, NextLimits(value_kb=1.0))
+        client = StoreClient(wire.end_of("n0"), "state:1", limits, nodes=1)
+        client.set_leader(True)
+        mirror = Mirror(client, PREFIX)
+        await client.txn({}, [Put(TERM, {"term": 1})], urgent=True)
+        office = Office(1, state.ledger, 0)
+        record = JobRecord(parse(job(pieces=170), Submission), 1.0, 170, None, 0)
+        key = job_key(record.sub.id)
+        await client.txn({}, [Put(key, record.value())], urgent=True)
+        record.stamp = state.ledger
+        work = works.add(record, 0.0)
+        await mirror.load()
+        running = asyncio.create_task(
+            Writer(client, mirror, works, office, lambda why: None, lambda: None).run()
+        )
+        attempts = [works.assign(work, piece, "m-000001", piece, 0.0) for piece in range(100)]
+        await asyncio.sleep(2)
+        assert attempts[0].saved, "the former limit still holds"
+        state.value_bytes = 1024
+        works.complete(work, 150)
+        await asyncio.sleep(10)
+        assert state.refused == 1 and not running.done()
+        for attempt in attempts[:80]:
+            works.drop(attempt)  # they end by and by
+        await asyncio.sleep(2)
+        assert state.refused == 1 and work.chunk(0).saved == work.chunk(0).version
+        running.cancel()
+
+    play(story())
