--- a/spoolcourse/control/fleet/roster.py
+++ b/spoolcourse/control/fleet/roster.py
@@ -22,6 +22,8 @@
 
 ORDERS_MAX = 300  # per response, well below 64 KiB
 AVOID_S = 60.0  # a machine that a job failed on; for ever, it might be left with none
+HEALTHY_S = 20.0  # a replica that has run for so long clears its service's pause
+REPLICA_PAUSE_S = 10.0  # the longest
 UNHEEDED_MOST = 3  # answers without effect within a lease: later ones will have none either
 
 
@@ -327,6 +329,8 @@
             if item.stage in ("running", "flushing"):
                 self._cached(machine, sub.bundle, sub.pullGb)
                 machine.errors.discard(work.id)
+                if sub.standing and work.failures and now - attempt.since > HEALTHY_S:
+                    work.failures = 0
             return
         cause = item.cause or ""
         log.debug("%s: ended, %s, on %s", item.piece, cause, machine.id)
@@ -334,16 +338,22 @@
             # A copy of the start may still be on its way to `/orders`. While the worker
             # remembers the attempt, the copy has no effect; after a reap it would start.
             machine.kept.add((work.id, attempt.piece, attempt.number))
-        if cause == "done":
+        if cause == "done" and sub.standing:
+            self._cached(machine, sub.bundle, sub.pullGb)
+            self._replica_ended(work, now)
+        elif cause == "done":
             self._cached(machine, sub.bundle, sub.pullGb)
             work.failures = 0
             self.works.complete(work, attempt.piece)
         elif cause == "error":
-            work.failures += 1
             work.bad_machines[machine.id] = now + AVOID_S
             machine.errors.add(work.id)
+            if sub.standing:
+                self._replica_ended(work, now)
+            else:
+                work.failures += 1
             # A job with a mistake fails everywhere: let it not eat up the machines.
-            if work.failures >= 3:
+            if work.failures >= 3 and not sub.standing:
                 work.retry_at = now + min(60.0, 2.0 ** min(work.failures - 2, 6))
             log.info("%s/%d: failed on %s", work.id, attempt.piece, machine.id)
         elif cause == "no_room":
@@ -354,13 +364,21 @@
             log.info("%s/%d: %s on %s", work.id, attempt.piece, cause, machine.id)
         self.drop(attempt)
 
+    @staticmethod
+    def _replica_ended(work: Work, now: float) -> None:
+        """A service that keeps ending must not eat up the machines; people wait for it, so
+        its pause is short, and over for good once a replica has run well for a while."""
+        work.failures += 1
+        if work.failures > 1:
+            work.retry_at = now + min(REPLICA_PAUSE_S, 0.5 * 2.0 ** min(work.failures - 2, 10))
+
     def _stray(self, machine: Machine, job: str, piece: int, item: Piece, now: float) -> bool:
         """Something on the machine that is not the attempt we count there; true if it
         was taken over as such."""
         work = self.works.jobs.get(job)
         if work is not None and piece < work.record.sub.pieces:
             if item.stage == "ended":
-                if item.cause == "done":
+                if item.cause == "done" and not work.record.sub.standing:
                     self.works.complete(work, piece)
                     other = work.attempts.get(piece)
                     if other is not None:
@@ -490,7 +508,8 @@
         work = self.works.jobs.get(job)
         if work is None:
             return self._over(job)
-        if piece >= work.record.sub.pieces or item.cause != "done":
+        sub = work.record.sub
+        if piece >= sub.pieces or item.cause != "done" or sub.standing:
             return True
         chunk = work.chunk(piece)
         return work.is_done(piece) and chunk.saved == chunk.version
--- a/spoolcourse/control/intake/api.py
+++ b/spoolcourse/control/intake/api.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from spoolcourse.control.intake.checks import refusal, usable_builds
-from spoolcourse.control.jobs.book import Book
+from spoolcourse.control.jobs.book import Book, TooLong
 from spoolcourse.control.net import Net, NetError, Reply, Request, later
 from spoolcourse.control.store.client import Refused, StoreClient, Unclear
 from spoolcourse.control.store.mirror import Mirror
@@ -56,6 +56,7 @@
         builds: Callable[[], dict[str, Build]],
         wall: Callable[[], float],
         foreman: Callable[[], str | None],
+        all_new: Callable[[], bool],
     ) -> None:
         self._book = book
         self._mirror = mirror
@@ -66,6 +67,7 @@
         self._builds = builds
         self._wall = wall
         self._foreman = foreman
+        self._all_new = all_new
 
     async def handle(self, request: Request, hop: bool = False) -> Reply:
         """`hop`: the request comes from a peer and goes no further."""
@@ -149,7 +151,13 @@
         why = refusal(sub, builds, self._params)
         if why is not None:
             return await self._refuse(sub.id, Reply(422, {"error": why}))
-        if await self._book.accept(self._narrowed(sub, builds), self._wall()):
+        if sub.standing and not self._all_new():
+            raise Unable("not all controllers know services yet")
+        try:
+            accepted = await self._book.accept(self._narrowed(sub, builds), self._wall())
+        except TooLong as exc:
+            return await self._refuse(sub.id, Reply(422, {"error": str(exc)}))
+        if accepted:
             log.info("%s accepted: %d pieces, %s, %s", sub.id, sub.pieces, sub.lane, sub.crew)
             return Reply(201, {"id": sub.id, "stage": "queued"})
         known = await self._known(sub.id)
--- a/spoolcourse/control/intake/checks.py
+++ b/spoolcourse/control/intake/checks.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from spoolcourse.wire.messages import Build, Submission, fits
-from spoolcourse.wire.settings import Params
+from spoolcourse.wire.settings import Params, Team
 
 
 def usable_builds(sub: Submission, builds: dict[str, Build], zones: list[str]) -> list[str]:
@@ -22,6 +22,21 @@
         return f"unknown team {sub.crew!r}"
     if sub.vcpus > team.cpus_max or sub.gpus > team.gpus_max:
         return "a task needs more than the team's limit"
-    if not usable_builds(sub, builds, params.zones):
+    usable = usable_builds(sub, builds, params.zones)
+    if not usable:
         return "a task fits no allowed machine type"
+    return _standing_refusal(sub, team, usable, builds, params.zones) if sub.standing else None
+
+
+def _standing_refusal(
+    sub: Submission, team: Team, usable: list[str], builds: dict[str, Build], zones: list[str]
+) -> str | None:
+    """The replicas of a service run all at once; an array may take one task after another."""
+    if sub.pieces * sub.vcpus > team.cpus_max or sub.pieces * sub.gpus > team.gpus_max:
+        return "all replicas together need more than the team's limit"
+    if not sub.scatter or sub.pieces < 2:
+        return None
+    where = {z for name in usable for z in builds[name].yards if z in zones}
+    if sub.oneZone or sub.yard is not None or len(where) < 2:
+        return "the replicas can't be spread over zones"
     return None
--- a/spoolcourse/control/jobs/book.py
+++ b/spoolcourse/control/jobs/book.py
@@ -6,6 +6,8 @@
 from dataclasses import replace
 from typing import Any
 
+import orjson
+
 from spoolcourse.control.jobs.cancellations import Cancellation, Cancellations
 from spoolcourse.control.jobs.records import JobRecord, chunk_pieces
 from spoolcourse.control.store.client import Put, StoreClient, Unclear
@@ -21,6 +23,11 @@
 from spoolcourse.wire.messages import Submission
 
 FINALS_KEPT = 20_000
+WITHDRAWN_BYTES = 64  # what a cancellation adds to a record
+
+
+class TooLong(Exception):
+    """The job's record fits into no value of the state service."""
 
 
 class Book:
@@ -115,6 +122,8 @@
         record = JobRecord(sub, at, chunk_pieces(self._client.limits.value_kb), None, 0)
         key = job_key(sub.id)
         value = record.value()
+        if len(orjson.dumps(value)) > self._client.limits.value_kb * 1024 - WITHDRAWN_BYTES:
+            raise TooLong("the job is too long to be stored")
         return await self._write(key, value, {key: 0, final_key(sub.id): 0})
 
     def learn_cancelled(self, found: Cancellation) -> None:
--- /dev/null
+++ b/spoolcourse/control/leadership/level.py
@@ -0,0 +1,76 @@
+"""Which stored forms every controller can read, while versions change one process at a time.
+
+A process that ends before its turn comes back as it was. So what the version before can't read
+is written only once every controller has said that it can; the leader asks, and notes it in the
+state service, where it stays true: whoever was new comes back new.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from spoolcourse.control.leadership.election import Office
+from spoolcourse.control.net import Net, NetError
+from spoolcourse.control.store.client import Put, Refused, StoreClient, Unclear
+from spoolcourse.control.store.keys import LEVEL, TERM
+from spoolcourse.control.store.mirror import Mirror
+from spoolcourse.wire.settings import Seed
+
+log = logging.getLogger(__name__)
+
+PATH = "/level"
+STANDING = 2  # 1: arrays only
+PERIOD_S = 1.0
+
+
+def answer() -> dict[str, int]:
+    return {"level": STANDING}
+
+
+def all_new(mirror: Mirror) -> bool:
+    """Whether this node has seen it noted."""
+    entry = mirror.get(LEVEL)
+    return entry is not None and entry.value["level"] >= STANDING
+
+
+class Level:
+    """The leader's loop; it ends once it is noted."""
+
+    def __init__(
+        self, net: Net, client: StoreClient, mirror: Mirror, seeds: list[Seed], office: Office
+    ) -> None:
+        self._net = net
+        self._client = client
+        self._mirror = mirror
+        self._seeds = seeds
+        self._office = office
+
+    async def run(self) -> None:
+        while not all_new(self._mirror):
+            if all(await asyncio.gather(*(self._knows(seed) for seed in self._seeds))):
+                await self._note()
+            await asyncio.sleep(PERIOD_S)
+
+    async def _knows(self, seed: Seed) -> bool:
+        """No answer, or one of a version that doesn't know the question, is a no."""
+        try:
+            reply = await self._net.call(seed.endpoint, "GET", PATH, timeout=1.0)
+        except NetError:
+            return False
+        level = reply.data.get("level") if isinstance(reply.data, dict) else None
+        return reply.status == 200 and isinstance(level, int) and level >= STANDING
+
+    async def _note(self) -> None:
+        value = {"level": STANDING}
+        conditions = {LEVEL: self._mirror.stamp(LEVEL), TERM: self._office.stamp}
+        try:
+            outcome = await self._client.txn(conditions, [Put(LEVEL, value)])
+        except (Refused, Unclear) as exc:
+            log.info("that all controllers are new is not noted yet: %s", exc)
+            return
+        if outcome.ok:
+            self._mirror.apply(LEVEL, value, outcome.ledger)
+            log.info("all controllers are new: services are taken")
+        else:
+            await self._mirror.sync()
--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 from heapq import heapify, heappop, heappush
+from math import inf
 
 from spoolcourse.control.placement.model import (
     EPSILON,
@@ -224,7 +225,7 @@
                 continue
             if node.fit(job):  # it boots, or the head waits for a fetch there
                 events.append((max(node.ready_at, now), number, 0))
-            elif node.tasks:
+            elif node.tasks and node.tasks[0].end < inf:
                 events.append((max(node.tasks[0].end, now), number, 1))
         heapify(events)
         self.plan.head = index
@@ -243,7 +244,8 @@
                 room.cpus += task.cpus
                 room.gpus += task.gpus
                 room.memory += task.memory
-            if ended < len(node.tasks):
+            # Services have no end: what they hold is promised to nobody.
+            if ended < len(node.tasks) and node.tasks[ended].end < inf:
                 heappush(events, (max(node.tasks[ended].end, at), number, ended + 1))
             take = min(room.fit(job), want)
             if take <= 0:
--- a/spoolcourse/control/placement/snapshot.py
+++ b/spoolcourse/control/placement/snapshot.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from math import inf
 
 from spoolcourse.control.fleet.roster import Machine, Roster
 from spoolcourse.control.jobs.works import Attempt, Work, Works
@@ -28,7 +29,7 @@
         self._works = works
         self._roster = roster
         self._team_settings = params.teams
-        self._prompt_lanes = {o.lane for o in params.objectives if o.kind == "wait"}
+        self._prompt_lanes = {o.lane for o in params.objectives if o.kind in ("wait", "up")}
         self._policy = policy
         self.teams = Index([t.name for t in params.teams])
         self.zones = Index(params.zones)
@@ -54,7 +55,9 @@
         return self._rare_until.get(build, 0.0) > now
 
     def estimate(self, work: Work) -> float:
-        return work.record.sub.expectS or self._policy.default_estimate_s
+        """How long a task of it runs; a service has no end."""
+        sub = work.record.sub
+        return inf if sub.standing else sub.expectS or self._policy.default_estimate_s
 
     def attempts(self, numbers: list[int]) -> list[Attempt]:
         """Those that the pass knows by number, in the same order."""
@@ -154,6 +157,8 @@
         machines as long as it can. A wait aim or a guarantee is missed by the time that a
         machine has booted, so neither is a reason to rent one."""
         sub = work.record.sub
+        if sub.standing:
+            return work.waiting_since  # each second without its replicas is missed
         soon = work.waiting_since + self._policy.ordinary_wait_s
         if sub.dueS is None:
             return soon
@@ -193,7 +198,7 @@
     def _job(self, work: Work, now: float, number_of: dict[str, int]) -> Job:
         sub = work.record.sub
         job = Job(
-            pending=0 if work.retry_at > now else 1 if work.id in self.unbegun else work.pending,
+            pending=0 if work.retry_at > now else 1 if work.id in self.unbegun else work.assignable,
             cpus=sub.vcpus,
             gpus=sub.gpus,
             memory=sub.memoryGb,
@@ -210,7 +215,7 @@
             guaranteed=work.id in self._within,
             ordinary_at=self._ordinary_at(work),
         )
-        job.claim = job.guaranteed or sub.lane in self._prompt_lanes
+        job.claim = job.guaranteed or sub.standing or sub.lane in self._prompt_lanes
         if work.bad_machines:
             bad = [m for m, until in work.bad_machines.items() if until > now]
             job.avoid = frozenset(number_of[m] for m in bad if m in number_of)
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -14,12 +14,13 @@
 from spoolcourse.control.fleet.courier import Courier
 from spoolcourse.control.fleet.roster import Roster
 from spoolcourse.control.jobs.book import Book
-from spoolcourse.control.jobs.records import JobRecord, Progress
+from spoolcourse.control.jobs.records import JobRecord, Progress, chunk_pieces
 from spoolcourse.control.jobs.works import Attempt, Work, Works
 from spoolcourse.control.jobs.writer import Writer
 from spoolcourse.control.leadership.currency import Currency
 from spoolcourse.control.leadership.election import Leadership, Office
 from spoolcourse.control.leadership.inquiry import Inquiry
+from spoolcourse.control.leadership.level import Level
 from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud
 from spoolcourse.control.machines.keeper import Keeper, Kind
@@ -57,6 +58,8 @@
         load: Load,
     ) -> None:
         self._load = load
+        self._net = net
+        self._seeds = seeds
         self._office = office
         self._leadership = leadership
         self._mirror = mirror
@@ -85,7 +88,7 @@
         self._heard_direct = self._clock()
         self._wake = asyncio.Event()
         self.ready = asyncio.Event()
-        self.works = Works()
+        self.works = Works(chunk_pieces(params.state.least.value_kb))
         self.roster = Roster(
             self.works,
             office.term,
@@ -124,6 +127,7 @@
     def start(self) -> None:
         self._spawn(self._take_over())
         self._spawn(self._inquiry.run())
+        self._spawn(Level(self._net, self._client, self._mirror, self._seeds, self._office).run())
 
     def stop(self) -> None:
         for task in self._tasks:
@@ -216,7 +220,7 @@
             return
         names = [h.id for h in hosts if not h.loaners and h.stage == "running"]
         value = {"machines": names if self._office.term == 1 else []}
-        if len(orjson.dumps(value)) > self._params.state.value_kb * 1024:
+        if len(orjson.dumps(value)) > self._params.state.least.value_kb * 1024:
             value = {"machines": []}  # a fleet of that size is not kept by name
         try:
             conditions = {BASE: 0, TERM: self._office.stamp}
@@ -460,7 +464,11 @@
                 self.roster.drop(attempt)
             return
         sub = attempt.work.record.sub
-        if sub.markEveryS > 0:
+        if sub.standing:
+            # Its next place is ready sooner than its machine is proven gone, so it moves; but
+            # one replica at a time, and none while another is missing, as long as there is time.
+            late = left < 2 * self._params.workers.report_s + 1.0 or attempt.work.complete
+        elif sub.markEveryS > 0:
             late = left < sub.markCostS + 2 * self._params.workers.report_s + 1.0
         else:
             elapsed = now - attempt.since if attempt.stage == "running" else 0.0
--- a/spoolcourse/control/service.py
+++ b/spoolcourse/control/service.py
@@ -15,6 +15,7 @@
 from spoolcourse.control.fleet.relay import Relay
 from spoolcourse.control.intake.api import PATH, Intake
 from spoolcourse.control.jobs.book import Book
+from spoolcourse.control.leadership import level
 from spoolcourse.control.leadership.election import Leadership, Office
 from spoolcourse.control.leadership.inquiry import PATH as CANCELLATIONS
 from spoolcourse.control.leadership.inquiry import testify
@@ -68,6 +69,7 @@
             lambda: self.builds,
             wall,
             lambda: self.leadership.foreman,
+            lambda: level.all_new(self.mirror),
         )
         self.relay = Relay(net, settings.label, settings.seeds, params.workers.report_s)
         self.reign: Reign | None = None
@@ -232,6 +234,8 @@
                 return Reply(200, testify(self.book, self.mirror, query))
             except Malformed as exc:
                 return Reply(400, {"error": str(exc)})
+        if path == level.PATH and request.method == "GET":
+            return Reply(200, level.answer())
         if path == "/healthz":
             return Reply(200 if self.ready else 503, {})
         if path == "/v1/report" and request.method == "POST":
--- a/spoolcourse/control/store/keys.py
+++ b/spoolcourse/control/store/keys.py
@@ -5,6 +5,7 @@
 LEADER = LIVE + "leader"
 TERM = LIVE + "term"
 BASE = LIVE + "base"  # machines found when the service first ran
+LEVEL = LIVE + "level"  # of the forms that every controller can read
 CATALOG = LIVE + "catalog"
 JOB = LIVE + "job/"
 PROGRESS = LIVE + "prog/"
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -32,7 +32,7 @@
     id: str
     lane: Name
     crew: Name
-    shape: Literal["array"]
+    shape: Literal["array", "standing"]
     rank: Literal["prod", "high", "standard", "best_effort"]
     pieces: Annotated[int, msgspec.Meta(ge=1, le=100_000)]
     vcpus: Amount
@@ -50,6 +50,11 @@
     yard: Name | None = None
     dueS: Seconds | None = None
 
+    @property
+    def standing(self) -> bool:
+        """A service: its tasks, the replicas, run until the job is cancelled."""
+        return self.shape == "standing"
+
 
 def fits(sub: Submission, build: Build) -> bool:
     """Whether the type is allowed, and an empty machine of it takes a task of the job."""
--- a/tests/fakes/state.py
+++ b/tests/fakes/state.py
@@ -6,6 +6,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
+import orjson
+
 from spoolcourse.control.net import Reply
 
 
@@ -19,6 +21,8 @@
         self._news = asyncio.Event()
         self.out = False
         self.transactions: list[dict[str, Any]] = []
+        self.value_bytes, self.txn_ops = 8 * 1024, 24  # they may drop
+        self.refused = 0  # for being larger
 
     def value(self, key: str) -> Any:
         self._expire()
@@ -107,6 +111,11 @@
         ops = body.get("apply", [])
         if any(op.get("hold") is not None and op["hold"] not in self.leases for op in ops):
             return Reply(400, {"error": "no such lease"})
+        if len(ops) > self.txn_ops or any(
+            len(orjson.dumps(op["v"])) > self.value_bytes for op in ops if "set" in op
+        ):
+            self.refused += 1
+            return Reply(400, {"error": "too large"})
         if ops:
             self.transactions.append(body)
             self._apply(ops)
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -67,7 +67,10 @@
 
 
 class World:
-    def __init__(self, policy: dict[str, object] | None = None) -> None:
+    def __init__(
+        self, policy: dict[str, object] | None = None, params: dict[str, Any] | None = None
+    ) -> None:
+        self.params = params or {}
         self.policy = check_policy(policy or {}, "test")
         self.wire = FakeWire()
         self.state = FakeState()
@@ -147,7 +150,7 @@
         for label in labels or LABELS:
             self.runs += 1
             node = Controller(
-                settings(label),
+                settings(label, **self.params),
                 self.wire.end_of(label),
                 self.policy,
                 wall=self.now,
--- /dev/null
+++ b/tests/test_services.py
@@ -0,0 +1,233 @@
+"""Standing services: replicas that run until their job is cancelled."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import pytest
+
+from spoolcourse.control.placement.backfill import place
+from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
+from tests.fakes.clock import play
+from tests.fakes.world import LABELS, World, job
+from tests.test_fleet import Crew, on
+
+
+def service(number: int = 1, **fields: Any) -> dict[str, Any]:
+    return job(
+        number,
+        **{"shape": "standing", "pieces": 2, "expectS": 0.0, "rank": "prod", "loaners": False}
+        | fields,
+    )
+
+
+async def served(world: World, number: int = 1, count: int = 2, limit: float = 60.0) -> float:
+    name = f"job-{number:06d}"
+    return await world.until(lambda: len(world.cloud.on_machines(name)) == count, limit)
+
+
+async def begin(**fields: Any) -> World:
+    world = World()
+    world.cloud.run_s = lambda task: 10_000.0
+    world.cloud.capacity = 20
+    await world.up()
+    for yard in ("a", "b"):
+        world.cloud.add(yard)
+    await asyncio.sleep(5)
+    assert (await world.submit(service(**fields))).status == 201
+    await served(world, 1, fields.get("pieces", 2))
+    return world
+
+
+def test_a_service_runs_until_it_is_cancelled_and_costs_no_writes() -> None:
+    async def story() -> None:
+        world = await begin(scatter=True)
+        await asyncio.sleep(3)
+        written = len(world.state.transactions)
+        await asyncio.sleep(100)
+        assert len(world.state.transactions) <= written + 1
+        for label in LABELS:
+            reply = await world.poll(1, label)
+            assert (reply.data["stage"], reply.data["done"]) == ("running", 0)
+        assert len(world.cloud.starts) == 2
+        assert (await world.cancel(1, "n1")).data["stage"] == "aborted"
+        await world.until(lambda: not world.cloud.on_machines("job-000001"), 40)
+        await asyncio.sleep(5)
+        for label in LABELS:
+            assert (await world.poll(1, label)).data["stage"] == "aborted"
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_what_can_never_be_a_service_is_refused() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        await asyncio.sleep(3)
+        for body, status in (
+            (service(pieces=17, crew="blue"), 422),  # 34 CPUs at once
+            (service(pieces=16, crew="blue"), 201),
+            (service(2, pieces=1, gpus=1.0), 422),
+            (service(3, scatter=True, yard="a"), 422),
+            (service(3, scatter=True, oneZone=True), 422),
+            (service(3, scatter=True, oneZone=True, pieces=1), 201),
+            (service(4, vcpus=9.0), 422),
+            (service(5, shape="group"), 400),
+            ({k: v for k, v in service(6).items() if k != "expectS"}, 400),
+            (job(7, scatter=True, yard="a"), 201),  # an array takes one half after the other
+        ):
+            assert (await world.submit(body)).status == status, body
+
+    play(story())
+
+
+@pytest.mark.parametrize("cause", ["done", "error", "halted"])
+def test_a_replica_that_ends_runs_again_with_a_bounded_pause(cause: str) -> None:
+    crew = Crew(shape="standing", rank="prod", pieces=2)
+    crew.report()
+    pauses = []
+    for number in range(1, 12):
+        crew.assign(0, number)
+        crew.report()
+        crew.report(on(0, number))
+        crew.report(on(0, number, stage="ended", cause=cause))
+        assert crew.work.done == 0 and crew.work.pending == 2 and not crew.work.finished
+        pauses.append(crew.work.retry_at - crew.now)
+        crew.save()
+        crew.report()
+        crew.now += 30.0
+    assert pauses[0] <= 0, "the first one runs again at once"
+    if cause != "halted":
+        assert pauses[3] > 0 and max(pauses) <= 10.0
+        crew.assign(0, 20)
+        crew.report()
+        crew.report(on(0, 20))
+        crew.now += 25.0
+        crew.report(on(0, 20))
+        assert crew.work.failures == 0, "a replica that runs well clears it"
+
+
+def test_an_ended_replica_is_forgotten_by_its_worker() -> None:
+    crew = Crew(shape="standing")
+    crew.report()
+    crew.assign()
+    crew.report()
+    crew.report(on())
+    reap = {"verb": "reap", "piece": "job-000001/0", "try": 1}
+    assert crew.report(on(stage="ended", cause="done")) == [reap]
+
+
+def test_no_head_is_promised_the_room_of_a_service() -> None:
+    def node(*ends: float) -> Node:
+        tasks = [RunningTask(end, 8.0, 0.0, 8.0) for end in ends]
+        return Node(0, 0, False, 8.0 - 8.0 * len(tasks), 0.0, 32.0, 8.0, 1.0, tasks=tasks)
+
+    def snapshot(*nodes: Node) -> Snapshot:
+        jobs = [
+            Job(1, 8.0, 0.0, 8.0, 0, 0.0, 0, 10.0),
+            Job(1, 4.0, 0.0, 4.0, 0, 0.0, 0, float("inf")),
+        ]
+        return Snapshot(0.0, jobs, list(nodes), [Team(100.0, 0.0)], 1, 2, 16)
+
+    plan = place(snapshot(node(float("inf"))))
+    assert plan.head == 0 and plan.head_start is None
+    plan = place(snapshot(node(float("inf")), node(50.0)))
+    assert plan.head_start == 50.0
+
+
+def test_a_lost_replica_runs_elsewhere_and_its_zones_hold() -> None:
+    async def story() -> None:
+        world = await begin(pieces=4, scatter=True)
+        for _ in range(3):
+            world.cloud.take(world.cloud.starts[-1][2])
+            assert await served(world, 1, 4, 60) < 25
+            assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_on_a_notice_one_replica_moves_at_a_time() -> None:
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 10_000.0
+        world.cloud.capacity = 6
+        await world.up()
+        for yard in ("a", "a", "b", "b"):
+            world.cloud.add(yard, loaner=True)
+        await asyncio.sleep(5)
+        assert (await world.submit(service(pieces=4, loaners=True, vcpus=4.0))).status == 201
+        await served(world, 1, 4)
+        await asyncio.sleep(3)
+        taken = sorted({m for _, n, m in world.cloud.starts})
+        fewest = 4
+        for name in taken:
+            world.cloud.workers[name].recall = 25.0
+            world.cloud.workers[name]._changed.set()
+        for _ in range(250):
+            await asyncio.sleep(0.1)
+            for name in taken:
+                if name in world.cloud.workers:
+                    world.cloud.workers[name].recall = 24.0
+            fewest = min(fewest, len(world.cloud.on_machines("job-000001")))
+            if {m for _, n, m in world.cloud.starts[4:]} and len(world.cloud.starts) >= 8:
+                break
+        assert fewest >= 3, "never more than one of them is missing"
+        assert len(world.cloud.starts) >= 6 and world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_service_lives_through_a_change_of_leader_and_an_outage() -> None:
+    async def story() -> None:
+        world = await begin()
+        world.kill(str(world.leader))
+        await world.until(lambda: world.leader, 10)
+        await asyncio.sleep(5)
+        world.state.out = True
+        await asyncio.sleep(25)
+        world.state.end_outage()
+        await asyncio.sleep(10)
+        assert len(world.cloud.starts) == 2 and world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_zone_of_a_service_is_cut_off() -> None:
+    async def story() -> None:
+        world = await begin(pieces=4, scatter=True)
+        names = [n for n, w in world.cloud.workers.items() if w.host["yard"] == "b"]
+        for name in names:
+            world.cut_off(name)
+        await asyncio.sleep(25)
+        assert len(world.cloud.on_machines("job-000001")) >= 2
+        world.wire.filters.clear()
+        await served(world, 1, 4, 40)
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+@pytest.mark.parametrize("wait", [0.0, 0.3, 0.8, 1.5, 3.0])
+def test_a_cancellation_meets_the_end_or_the_move_of_a_replica(wait: float) -> None:
+    async def story() -> None:
+        world = await begin()
+        world.cloud.run_s = lambda task: 0.5
+        name = world.cloud.starts[0][2]
+        world.cloud.workers[name].recall = 25.0
+        world.cloud.workers[name]._changed.set()
+        other = world.cloud.workers[world.cloud.starts[1][2]]
+        for task in other.tasks.values():
+            task.stage, task.cause = "ended", "done"
+        other._changed.set()
+        await asyncio.sleep(wait)
+        assert (await world.cancel(1, "n2")).data["stage"] == "aborted"
+        await world.until(lambda: not world.cloud.on_machines("job-000001"), 40)
+        await asyncio.sleep(20)
+        assert world.cloud.on_machines("job-000001") == []
+        for label in LABELS:
+            assert (await world.poll(1, label)).data["stage"] == "aborted"
+        assert world.cloud.broken == []
+
+    play(story())
--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,253 @@
+"""Old and new versions side by side, and limits of the state service that drop."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+import orjson
+import pytest
+
+from spoolcourse.control.jobs.records import JobRecord, Progress
+from spoolcourse.control.store.keys import LEVEL, TERM, job_key, progress_key
+from spoolcourse.errors import UserError
+from spoolcourse.wire.settings import parse_settings
+from tests.fakes.clock import play
+from tests.fakes.world import LABELS, World, job, settings
+from tests.test_services import service
+
+# The stored forms of the production version, as of its commit.
+OLD_JOB = {
+    "sub": {
+        "id": "job-000001",
+        "lane": "batch",
+        "crew": "red",
+        "shape": "array",
+        "rank": "standard",
+        "pieces": 200,
+        "vcpus": 1.0,
+        "gpus": 0.0,
+        "memoryGb": 1.0,
+        "bundle": "img",
+        "pullGb": 1.0,
+        "oneZone": False,
+        "scatter": False,
+        "loaners": True,
+        "expectS": 10.0,
+        "markEveryS": 0.0,
+        "markCostS": 0.0,
+    },
+    "at": 990.0,
+    "chunk": 170,
+}
+OLD_PROGRESS = {"done": "6", "held": {"0": ["m-000000", 16777217], "5": ["m-000000", 16777218]}}
+OLD_TERM = {"term": 1, "run": "run9", "hold": 7}
+
+
+def old_can_read(key: str, value: Any) -> None:
+    """What the production version makes of a value; it raises where that would."""
+    if "/live/job/" in key:
+        assert set(value) <= {"sub", "at", "chunk", "aborted"}
+        assert set(OLD_JOB["sub"]) <= set(value["sub"])  # type: ignore[arg-type]
+        assert value["sub"]["shape"] == "array"
+        assert isinstance(value["chunk"], int) and value["chunk"] > 0
+        assert isinstance(value["at"], float)
+    elif "/live/prog/" in key:
+        int(value["done"], 16)
+        for piece, (machine, number) in value["held"].items():
+            assert int(piece) >= 0 and isinstance(machine, str) and isinstance(number, int)
+    elif "/fin/" in key:
+        assert value["stage"] in ("done", "aborted") and isinstance(value["done"], int)
+        assert isinstance(value["at"], float)
+    elif key.endswith("/live/term"):
+        assert isinstance(value["term"], int) and isinstance(value["run"], str)
+    elif key.endswith("/live/leader"):
+        assert isinstance(value["label"], str) and isinstance(value["run"], str)
+
+
+def written(world: World) -> list[tuple[str, Any]]:
+    return [
+        (op["set"], op["v"])
+        for body in world.state.transactions
+        for op in body["apply"]
+        if "set" in op
+    ]
+
+
+def old_peers(world: World, *labels: str) -> Any:
+    """These peers know none of the new questions."""
+
+    def check(src: str, dst: str, method: str, path: str, body: Any) -> str | None:
+        return "404" if dst[:-3] in labels and path.startswith("/level") else None
+
+    world.wire.filters.append(check)
+    return check
+
+
+def test_the_new_version_reads_what_the_old_one_stored() -> None:
+    record = JobRecord.from_value(OLD_JOB, 3)
+    assert record.sub.pieces == 200 and not record.sub.standing and record.value() == OLD_JOB
+    progress = Progress.from_value(OLD_PROGRESS)
+    assert progress.done == 6 and progress.value() == OLD_PROGRESS
+
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 5.0
+        name = world.cloud.add()
+        state = world.state
+        state._apply(
+            [
+                {"set": TERM, "v": OLD_TERM},
+                {"set": job_key("job-000001"), "v": OLD_JOB},
+                {"set": progress_key("job-000001", 0), "v": OLD_PROGRESS},
+            ]
+        )
+        world.jobs["job-000001"] = job(pieces=200, vcpus=1.0)
+        await world.up()
+        await world.finish(1, 300)
+        assert state.value(TERM)["term"] == 2
+        started = [n for _, n, _ in world.cloud.starts]
+        assert len(started) == 198 and "job-000001/1" not in started, "two were done before"
+        assert name and world.cloud.broken == []
+
+    play(story())
+
+
+def test_the_old_version_reads_what_the_new_one_writes_before_all_are_new() -> None:
+    async def story() -> None:
+        world = World()
+        await world.up()
+        old = next(n for n in LABELS if n != world.leader)
+        turn = old_peers(world, old)
+        world.state._apply([{"delete": LEVEL}])
+        for label in LABELS:
+            world.kill(label)
+        await world.up()
+        await world.submit(job(1, pieces=60, vcpus=1.0))
+        await world.submit(job(2))
+        refused = await world.submit(service(3))
+        assert refused.status == 503 and refused.headers["Retry-After"]
+        await world.cancel(2)
+        await world.finish(1, 200)
+        assert world.state.value(LEVEL) is None
+        for key, value in written(world):
+            old_can_read(key, value)
+        # Its turn has come: now services are taken, and that stays so whoever leads.
+        world.wire.filters.remove(turn)
+        await world.until(lambda: world.state.value(LEVEL), 30)
+        await asyncio.sleep(1)
+        assert (await world.submit(service(3))).status == 201
+        old_peers(world, *LABELS)
+        world.kill(str(world.leader))
+        await world.until(lambda: world.leader, 10)
+        node = str(world.leader)
+        assert (await world.submit(service(4), node)).status == 201
+
+    play(story())
+
+
+def with_next(**limits: Any) -> dict[str, Any]:
+    state = {"rps": 200.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 24}
+    return {"state": state | {"next": limits}}
+
+
+def test_limits_to_come_are_read_and_checked() -> None:
+    assert settings().settings.state.least == settings().settings.state
+    assert settings(**with_next()).settings.state.least.txn_ops == 24
+    least = settings(**with_next(value_kb=2.0, txn_ops=4, write_rps=150.0)).settings.state.least
+    assert (least.value_kb, least.txn_ops, least.write_rps) == (2.0, 4, 100.0)
+    for wrong in ({"value_kb": 0}, {"txn_ops": -1}, {"write_rps": "x"}, {"rps": 0.0}):
+        with pytest.raises(UserError, match="state.next"):
+            settings(**with_next(**wrong))
+    with pytest.raises(UserError):
+        parse_settings(orjson.dumps({"label": "n0"}), "test")
+
+
+@pytest.mark.parametrize("drop_after", [0.5, 6.0, 30.0])
+def test_limits_drop_while_an_old_jobs_chunks_are_larger(drop_after: float) -> None:
+    async def story() -> None:
+        world = World(params=with_next(value_kb=1.0, txn_ops=3, write_rps=40.0))
+        world.cloud.run_s = lambda task: 12.0
+        world.cloud.capacity = 30
+        held = {str(p): ["m-000000", 16777217 + p] for p in range(100)}
+        world.state._apply(
+            [
+                {"set": TERM, "v": OLD_TERM},
+                {"set": job_key("job-000001"), "v": OLD_JOB},
+                {"set": progress_key("job-000001", 0), "v": {"done": "0", "held": held}},
+            ]
+        )
+        world.jobs["job-000001"] = job(pieces=200, vcpus=1.0)
+        world.cloud.add()
+        await world.up()
+        await world.submit(job(2, pieces=60, vcpus=1.0, crew="blue"))
+        await asyncio.sleep(drop_after)
+        world.state.value_bytes, world.state.txn_ops = 1024, 3
+        await world.finish(1, 300)
+        await world.finish(2, 300)
+        assert world.state.refused < 5, "nothing is tried again and again"
+        largest = max(len(orjson.dumps(v)) for k, v in written(world) if "/job-000002" in k)
+        assert largest <= 1024
+        assert world.cloud.broken == []
+
+    play(story())
+
+
+def test_a_job_too_long_to_be_stored_is_refused() -> None:
+    async def story() -> None:
+        world = World(params=with_next(value_kb=0.5))
+        await world.up()
+        assert (await world.submit(job(1, bundle="i" * 200, lane="l" * 100))).status == 422
+        assert (await world.submit(job(2))).status == 201
+
+    play(story())
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_leadership_goes_from_old_to_new_and_back_with_work_under_way(lost: bool) -> None:
+    # What an old leader does in between is written in its stored forms, as of its commit.
+    async def story() -> None:
+        world = World()
+        world.cloud.run_s = lambda task: 60.0
+        await world.up()
+        for number in (1, 2):
+            await world.submit(job(number))
+        await world.until(lambda: len(world.cloud.starts) == 8, 60)
+        await asyncio.sleep(3)
+        for turn in range(2):
+            for label in LABELS:
+                world.kill(label)
+            await asyncio.sleep(0.5)
+            state = world.state
+            term = state.value(TERM)["term"] + 1
+            changes = [{"set": TERM, "v": {"term": term, "run": f"old{turn}", "hold": 1}}]
+            if turn == 0:  # the old leader takes a cancellation
+                value = dict(state.value(job_key("job-000002")))
+                changes.append(
+                    {"set": job_key("job-000002"), "v": value | {"aborted": world.now()}}
+                )
+                world.cancelled["job-000002"] = world.now()
+                world.told["job-000002"] = "aborted"
+            # It writes progress anew, as it does after a takeover.
+            key = progress_key("job-000001", 0)
+            progress = state.value(key)
+            old_can_read(key, progress)
+            changes.append({"set": key, "v": {"held": progress["held"], "done": progress["done"]}})
+            state._apply(changes)
+            if lost:
+                world.wire.filters.append(
+                    lambda src, dst, method, path, body: (
+                        "lose" if path == "/multi" and (body or {}).get("apply") else None
+                    )
+                )
+            await world.up()
+            assert world.state.value(TERM)["term"] > term
+            await asyncio.sleep(6)
+            world.wire.filters.clear()
+            await world.until(lambda: not world.cloud.on_machines("job-000002"), 40)
+        await world.finish(1, 120)
+        assert len(world.cloud.starts) == 8 and world.cloud.broken == []
+        for key, value in written(world):
+            old_can_read(key, value)
+
+    play(story())
