--- a/spoolcourse/control/view.py
+++ b/spoolcourse/control/view.py
@@ -17,11 +17,16 @@
     machines = reign.roster.machines.values()
     attempts = [a for w in reign.works.jobs.values() for a in w.attempts.values()]
     waiting = reign.waiting()
+    services = [
+        w for w in reign.works.jobs.values() if w.record.sub.standing and not w.record.aborted
+    ]
     return {
         "jobs": len(reign.works.jobs),
         "waiting": waiting[:JOBS_SHOWN],
         "waitingJobs": len(waiting),
         "waitingPieces": sum(entry["pieces"] for entry in waiting),
+        "services": len(services),
+        "replicasMissing": sum(w.pending for w in services),
         "attempts": len(attempts),
         "unprovenAttempts": sum(1 for a in attempts if a.stage == "open" or a.loose is not None),
         "fetchesBooked": sum(len(m.pulling) for m in machines),
@@ -70,6 +75,8 @@
     "liveJobs": "jobs that are not final",
     "waitingJobs": "jobs with pieces that wait",
     "waitingPieces": "pieces that wait",
+    "services": "standing services",
+    "replicasMissing": "replicas of services that are not placed",
     "attempts": "attempts that may be on machines",
     "unprovenAttempts": "attempts whose whereabouts are open",
     "fetchesBooked": "image fetches under way",
--- a/tests/test_services.py
+++ b/tests/test_services.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from spoolcourse.control.net import Request
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
 from tests.fakes.clock import play
@@ -50,6 +51,9 @@
         for label in LABELS:
             reply = await world.poll(1, label)
             assert (reply.data["stage"], reply.data["done"]) == ("running", 0)
+        leader = world.nodes[str(world.leader)]
+        text = leader.peers(Request("GET", "/metrics")).data.decode()  # type: ignore[union-attr]
+        assert "spoolcourse_services 1.0" in text and "spoolcourse_replicas_missing 0.0" in text
         assert len(world.cloud.starts) == 2
         assert (await world.cancel(1, "n1")).data["stage"] == "aborted"
         await world.until(lambda: not world.cloud.on_machines("job-000001"), 40)
