--- a/spoolcourse/control/jobs/works.py
+++ b/spoolcourse/control/jobs/works.py
@@ -89,7 +89,7 @@
         return self.record.sub.pieces - self.done - len(self.attempts)
 
     @property
-    def complete(self) -> bool:
+    def all_running(self) -> bool:
         """All its tasks run, and none is being stopped."""
         return self.pending == 0 and all(
             a.stage == "running" and not a.halting for a in self.attempts.values()
--- a/spoolcourse/control/reign.py
+++ b/spoolcourse/control/reign.py
@@ -467,7 +467,7 @@
         if sub.standing:
             # Its next place is ready sooner than its machine is proven gone, so it moves; but
             # one replica at a time, and none while another is missing, as long as there is time.
-            late = left < 2 * self._params.workers.report_s + 1.0 or attempt.work.complete
+            late = left < 2 * self._params.workers.report_s + 1.0 or attempt.work.all_running
         elif sub.markEveryS > 0:
             late = left < sub.markCostS + 2 * self._params.workers.report_s + 1.0
         else:
