--- a/tests/fakes/net.py
+++ b/tests/fakes/net.py
@@ -61,6 +61,9 @@
         if verdict == "lose":
             await asyncio.sleep(timeout)
             raise NetError(f"{src} -> {dst}: answer lost")
+        if 2 * self.delay >= timeout:
+            await asyncio.sleep(max(timeout - self.delay, 0.0))
+            raise NetError(f"{src} -> {dst}: answered too late")
         await asyncio.sleep(self.delay)
         return reply
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -325,6 +325,7 @@
     async def story() -> None:
         world = World()
         world.cloud.run_s = lambda task: 5.0
+        world.wire.delay = 0.08  # so that what meets is under way for a while
         await world.up_with_machine()
         await world.submit(job(pieces=2))
         await world.until(lambda: len(world.cloud.starts) == 2, 60)
