--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -575,3 +575,25 @@
         await ended(world, (1,))
 
     play(story())
+
+
+def test_a_job_that_failed_on_every_machine_there_is_tries_them_again() -> None:
+    # Machines it failed on were avoided for ever, though a fault may pass: no other could be had.
+    async def story() -> None:
+        world = World()
+        world.cloud.capacity = 1
+        await world.up_with_machine()
+        failed: list[str] = []
+
+        def cause(worker: Any, task: Any) -> str:
+            if task.name not in failed:
+                failed.append(task.name)
+                return "error"
+            return "done"
+
+        world.cloud.cause = cause
+        await world.submit(job(pieces=1))
+        assert await world.finish(1, 110) < 10 + 90
+        assert failed == ["job-000001/0"]
+
+    play(story())
