--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -103,7 +103,7 @@
             for t in w.tasks.values()
             if t.on
         ]
-        limits = {"red": 64.0, "blue": 32.0}
+        limits = {team.name: team.cpus_max for team in settings().settings.teams}
         used = sum(
             other["vcpus"]
             for job, _ in on
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -13,6 +13,7 @@
 from spoolcourse.wire.settings import Workers
 from tests.fakes.clock import play
 from tests.fakes.world import LABELS, World, job
+from tests.test_troubles import half_open
 
 CANCEL_S = 40.0
 
@@ -237,11 +238,7 @@
                     lambda src, dst, *rest, name=name: "cut" if src == name else None
                 )
             else:
-                world.wire.filters.append(
-                    lambda src, dst, *rest, name=name: (
-                        "lose" if src == name else "cut" if dst == f"{name}:9000" else None
-                    )
-                )
+                world.wire.filters.append(half_open(name))
         await asyncio.sleep(1)
         world.wire.filters.remove(cut)  # now it hears of it
         await gap.gone_in_time()
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -120,17 +120,13 @@
     play(story())
 
 
-def shift_leader(world: World, back_s: float) -> Any:
+async def shift_leader(world: World, back_s: float) -> None:
     """The leader ends and comes back after a while."""
-
-    async def run() -> None:
-        first = str(world.leader)
-        world.kill(first)
-        await asyncio.sleep(back_s)
-        world.start(first)
-        await world.until(lambda: world.leader, 30)
-
-    return run()
+    first = str(world.leader)
+    world.kill(first)
+    await asyncio.sleep(back_s)
+    world.start(first)
+    await world.until(lambda: world.leader, 30)
 
 
 def guarded(key: str) -> set[str]:
