--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -5,7 +5,7 @@
 import math
 from dataclasses import dataclass, replace
 
-from spoolcourse.control.placement.model import EPSILON, Job, Node, fit
+from spoolcourse.control.placement.model import EPSILON, Job, Node, fit, share_out
 
 LONGEST_S = 3600.0  # that a task is taken to run at most, for its price
 HIRES_MAX = 50  # machines asked for by one pass
@@ -132,9 +132,8 @@
     room = list(team_room)
     for job, wanted in demand:
         count = wanted
-        if job.cpus > 0:
-            count = min(count, max(0, math.floor(room[job.team] / job.cpus + EPSILON)))
-            room[job.team] -= count * job.cpus
+        count = min(count, share_out(room[job.team], job.cpus))
+        room[job.team] -= count * job.cpus
         # Machines in a zone that takes no more of the job would be rented again and again,
         # while its tasks wait for ever: of one that is spread over zones, and lost machines
         # in one of them.
--- a/spoolcourse/control/placement/backfill.py
+++ b/spoolcourse/control/placement/backfill.py
@@ -23,7 +23,6 @@
     Plan,
     Room,
     Snapshot,
-    fit,
 )
 
 RESERVED_MAX = 64  # tasks of the head that are protected
@@ -84,7 +83,7 @@
         for index, job in enumerate(self.s.jobs):
             if job.pending <= 0:
                 continue
-            allowed = min(job.pending, self._team_room(job))
+            allowed = min(job.pending, self.s.teams[job.team].fit(job))
             placed = self._place(index, job, allowed) if allowed > 0 else 0
             left = allowed - placed
             if left > 0:
@@ -98,11 +97,6 @@
 
     # -- what is allowed ------------------------------------------------------------
 
-    def _team_room(self, job: Job) -> int:
-        # A team's limit knows no memory: as much as is asked for is there.
-        team = self.s.teams[job.team]
-        return fit(team.cpus, team.gpus, UNBOUNDED * job.memory, job)
-
     def _zones(self, job: Job) -> set[int]:
         """Zones in which another task of the job may start at this moment."""
         return {zone for zone in range(self.s.zones) if job.zone_room(zone) > 0}
--- a/spoolcourse/control/placement/model.py
+++ b/spoolcourse/control/placement/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 
 EPSILON = 1e-6
 LEAST_RATE = 1e-3  # GB a second: a type whose rate is given as 0 still fetches
@@ -21,6 +22,13 @@
     return int(count) if count > 0 else 0
 
 
+def share_out(amount: float, each: float) -> int:
+    """How many times `each` goes into an amount, which is infinite where there is no limit."""
+    if each <= 0 or amount == inf:
+        return UNBOUNDED
+    return max(0, int((amount + EPSILON) // each))
+
+
 @dataclass(slots=True)
 class RunningTask:
     """Holds resources until about `end`."""
@@ -146,10 +154,14 @@
 class Team:
     """What a team may still use."""
 
-    cpus: float  # still free below its limit
+    cpus: float  # still free below its limit; infinite without one
     gpus: float
     over: float = 0.0  # CPUs that it uses beyond its guarantee
 
+    def fit(self, job: Job) -> int:
+        """How many more tasks of the job its limits allow."""
+        return min(share_out(self.cpus, job.cpus), share_out(self.gpus, job.gpus))
+
 
 @dataclass(slots=True)
 class Snapshot:
--- a/spoolcourse/control/placement/snapshot_builder.py
+++ b/spoolcourse/control/placement/snapshot_builder.py
@@ -126,22 +126,26 @@
         All that may be running counts, also what outlives its job, or what is on a machine
         without being the attempt that counts there.
         """
-        teams = [Team(t.cpus_max, t.gpus_max) for t in self._team_settings]
+        teams = [Team(t.cpu_limit, t.gpu_limit, -t.cpus) for t in self._team_settings]
         for state in self._job_queue.jobs.values():
             self._charge(teams, state, len(state.attempts))
         for attempt in self._job_queue.attempts_of_finished_jobs():
             self._charge(teams, attempt.job_state, 1)
-        for team, settings in zip(teams, self._team_settings, strict=True):
-            team.over = (settings.cpus_max - team.cpus) - settings.cpus
         for state in self._unexpected_jobs():
-            self._charge(teams, state, 1)
+            self._charge(teams, state, 1, stoppable=False)
         return teams
 
-    def _charge(self, teams: list[Team], state: JobState, tasks: int) -> None:
+    def _charge(
+        self, teams: list[Team], state: JobState, tasks: int, stoppable: bool = True
+    ) -> None:
+        """Count tasks against their team; only what can be stopped counts beyond its guarantee."""
         submission = state.record.submission
         team = teams[self.teams.of(submission.team)]
-        team.cpus -= submission.cpus * tasks
+        cpus = submission.cpus * tasks
+        team.cpus -= cpus
         team.gpus -= submission.gpus * tasks
+        if stoppable:
+            team.over += cpus
 
     def _take_nodes(self, now: float, machine_types: dict[str, MachineType]) -> list[Node]:
         rare_types = {name for name in machine_types if self.is_rare(name, now)}
--- a/spoolcourse/control/user_api/checks.py
+++ b/spoolcourse/control/user_api/checks.py
@@ -25,7 +25,7 @@
     team = next((t for t in params.teams if t.name == submission.team), None)
     if team is None:
         return f"unknown team {submission.team!r}"
-    if submission.cpus > team.cpus_max or submission.gpus > team.gpus_max:
+    if submission.cpus > team.cpu_limit or submission.gpus > team.gpu_limit:
         return "a task needs more than the team's limit"
     usable = usable_machine_types(submission, machine_types, params.zones)
     if not usable:
@@ -46,8 +46,8 @@
 ) -> str | None:
     """The replicas of a service run all at once; an array may take one task after another."""
     if (
-        submission.task_count * submission.cpus > team.cpus_max
-        or submission.task_count * submission.gpus > team.gpus_max
+        submission.task_count * submission.cpus > team.cpu_limit
+        or submission.task_count * submission.gpus > team.gpu_limit
     ):
         return "all replicas together need more than the team's limit"
     if not submission.spread_over_zones or submission.task_count < 2:
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from pathlib import Path
 from typing import Annotated
 
@@ -31,7 +32,7 @@
 
 
 class Team(msgspec.Struct, frozen=True):
-    """A team, with what it is guaranteed and what it may use at most."""
+    """A team, with what it is guaranteed and what it may use at most; 0: none of either."""
 
     name: str
     cpus: Amount = 0.0
@@ -39,6 +40,16 @@
     gpus: Amount = 0.0
     gpus_max: Amount = 0.0
 
+    @property
+    def cpu_limit(self) -> float:
+        """CPUs that its tasks may use at once; infinite without a limit."""
+        return self.cpus_max or inf
+
+    @property
+    def gpu_limit(self) -> float:
+        """GPUs that its tasks may use at once; infinite without a limit."""
+        return self.gpus_max or inf
+
 
 class Objective(msgspec.Struct, frozen=True):
     """What is expected of a class of jobs, or of work within a guarantee."""
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -103,7 +103,7 @@
             for t in w.tasks.values()
             if t.on
         ]
-        limits = {team.name: team.cpus_max for team in settings().settings.teams}
+        limits = {team.name: team.cpu_limit for team in settings(**self.params).settings.teams}
         used = sum(
             other["vcpus"]
             for job, _ in on
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from math import inf
+
 from spoolcourse.control.machines.planner import Offer, plan_hires, top_up
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Job, Node, Plan, RunningTask, Snapshot, Team
@@ -249,3 +251,12 @@
     # With one machine all of them go there.
     plan = place(snapshot(node(), pending=3))
     assert sum(d.count for d in plan.decisions) == 3
+
+
+def test_a_team_without_a_limit_is_bounded_by_machines_alone() -> None:
+    offer = Offer(0, 0, True, 8.0, 0.0, 64.0, price=1.0, boot_s=10.0)
+    waiting = job(100)
+    plan = run([waiting], [node()], team=inf)
+    assert placed(plan) == {0: 4} and plan.why[0] == "machines"
+    hires = plan_hires([(waiting, 96)], [], [offer], 0.0, [inf])
+    assert [(hire.offer, hire.count) for hire in hires] == [(offer, 24)]
--- a/tests/test_user_api.py
+++ b/tests/test_user_api.py
@@ -198,3 +198,20 @@
         assert (await world.ask(leader, "GET", "/status")).status == 404
 
     play(story())
+
+
+def test_a_team_without_a_limit_runs_as_much_as_it_asks_for() -> None:
+    # A limit of 0 means none. Read as a limit of nothing, every submission was answered 422 and
+    # no task of a deployment with such a team ever started.
+    async def story() -> None:
+        world = World(params={"teams": [{"name": "red", "cpus": 0.0, "cpus_max": 0.0}]})
+        await world.up()
+        assert (await world.submit(job(pieces=40))).status == 201
+        assert (await world.submit(job(2, vcpus=9.0))).status == 422, "it fits no machine"
+        service = job(3, shape="standing", expectS=0.0, loaners=False)
+        assert (await world.submit(service)).status == 201
+        await world.finish()
+        assert (await world.poll(3)).data["running"] == 4
+        assert not world.cloud.broken
+
+    play(story())
