--- a/spoolcourse/control/placement/snapshot_builder.py
+++ b/spoolcourse/control/placement/snapshot_builder.py
@@ -12,7 +12,7 @@
 from spoolcourse.control.placement.snapshot_cache import Index, SnapshotCache
 from spoolcourse.policy.keys import Policy
 from spoolcourse.wire.messages import HostStage, MachineType, fits
-from spoolcourse.wire.settings import Params
+from spoolcourse.wire.settings import Objective, Params
 
 log = logging.getLogger(__name__)
 
@@ -31,6 +31,7 @@
         self._registry = registry
         self._team_settings = params.teams
         self._prompt_classes = {o.job_class for o in params.objectives if o.kind in ("wait", "up")}
+        self._expected_done_s = _expected_done_s(params.objectives)
         self._policy = policy
         self.teams = Index([t.name for t in params.teams])
         self.zones = Index(params.zones)
@@ -189,18 +190,22 @@
         """From when on ordinary machines may be rented for the job.
 
         They cost a multiple of spot ones. They are for deadlines that would be missed otherwise,
-        and for work without one; the rest waits for spot machines as long as it can. A wait aim or
-        a guarantee is missed by the time that a machine has booted, so neither is a reason to rent
-        one.
+        and for work of which nobody says when it is expected; the rest waits for spot machines as
+        long as it can. Without a deadline of its own a job is expected by the time that the
+        objectives name for its class. A wait aim or a guarantee is missed by the time that a
+        machine has booted, so neither is a reason to rent one.
         """
         submission = job_state.record.submission
         if submission.is_service:
             return job_state.waiting_since  # each second without its replicas is missed
         soon = job_state.waiting_since + self._policy.ordinary_wait_s
-        if submission.due_s is None:
+        due_s = submission.due_s
+        if due_s is None:
+            due_s = self._expected_done_s.get(submission.job_class)
+        if due_s is None:
             return soon
         needed = self._policy.rescue_estimates * self.estimate(job_state) + self._boot_s
-        return max(soon, job_state.waiting_since + submission.due_s - needed)
+        return max(soon, job_state.waiting_since + due_s - needed)
 
     def _guarantees(self) -> set[str]:
         """Jobs that fit into their teams' guarantees together with the earlier ones."""
@@ -299,5 +304,15 @@
                     _note_held(job, self.zones.of(machine.zone or ""))
 
 
+def _expected_done_s(objectives: list[Objective]) -> dict[str, float]:
+    """By class: within what time its jobs are expected to finish, the strictest if several."""
+    expected: dict[str, float] = {}
+    for objective in objectives:
+        if objective.kind == "finished":
+            known_s = expected.get(objective.job_class, inf)
+            expected[objective.job_class] = min(known_s, objective.within_s)
+    return expected
+
+
 def _note_held(job: Job, zone: int) -> None:
     job.held[zone] = job.held.get(zone, 0) + 1
