No fixed limit stands below 4,000 machines

Found by going through every constant that depends on machines, workers or jobs: - the fleet found at the first start was noted in one value, a few hundred names; now in several, the first one in the form that older versions read - 5,000 names of deleted machines, 10,000 workers at a relay: now by age - 50 machines a pass, 10 for headroom, 100 deletions a second: now by the cloud's calls a second and the fleet; requests of more than 50 are split - 192 and 64 calls at once: at least that, and an eighth of the fleet within a quarter of the sockets - one connection for each worker, though sockets are fewer: beyond 0.7 of them connections end with their answers - 2**24 attempt numbers a term, hours at such a size: a new term follows Each test was seen to fail with its part taken back. The test of calls at once patches the constant by its new name, with the same bound.

--- a/spoolcourse/cli.py
+++ b/spoolcourse/cli.py
@@ -86,7 +86,8 @@
     ):
         address = getattr(settings, field)
         try:
-            await listen(split_address(address, field), handler)
+            sockets = settings.settings.machine_limits.sockets
+            await listen(split_address(address, field), handler, sockets=sockets)
         except OSError as exc:
             raise UserError(f"{field}: cannot listen on {address}: {exc.strerror}") from exc
     logging.getLogger(__name__).info("%s serves on %s", settings.label, settings.listen)
--- a/spoolcourse/control/fleet/command_dispatcher.py
+++ b/spoolcourse/control/fleet/command_dispatcher.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 
+from spoolcourse.control.fleet.call_limit import calls_at_once
 from spoolcourse.control.fleet.machine import Machine
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.net import Net, NetError
@@ -21,7 +22,7 @@
 
 TIMEOUT_S = 1.0
 PAUSE_S = 10.0
-AT_ONCE = 192  # calls under way; those to machines behind a cut hang until they time out
+CALLS_LEAST = 192  # calls that may be under way at once in a small fleet
 SPARE = 0.15  # of the sockets, for users, peers and what is under way
 
 
@@ -42,7 +43,7 @@
                 await self.wake.wait()
                 self.wake.clear()
                 for machine in self._registry.commands.due(self._busy):
-                    if len(self._busy) >= AT_ONCE:
+                    if self._is_full():
                         break  # whoever comes back sees to the rest
                     task = asyncio.get_running_loop().create_task(self._send(machine))
                     self._busy[machine.id] = task
@@ -50,6 +51,10 @@
             for task in self._busy.values():
                 task.cancel()
 
+    def _is_full(self) -> bool:
+        most = calls_at_once(CALLS_LEAST, len(self._registry.machines), self._sockets)
+        return len(self._busy) >= most
+
     def may_keep(self) -> bool:
         """Whether connections to machines may stay open beside those of their reports.
 
@@ -88,7 +93,7 @@
                     attempt.in_flight_session = None
                 self._registry.observe(report)
         finally:
-            held_back = len(self._busy) >= AT_ONCE
+            held_back = self._is_full()
             self._busy.pop(machine.id, None)
             if held_back or machine.id in self._registry.pending_commands:
                 self.wake.set()
--- a/spoolcourse/control/fleet/relay.py
+++ b/spoolcourse/control/fleet/relay.py
@@ -23,7 +23,6 @@
 
 TIMEOUT_S = 1.5
 PROBE_S = 15.0  # while the leader hears no worker, one of them in so long tries it again
-KNOWN_MOST = 10_000
 RECENT_REPORTS = 3  # periods in which a worker that came here counts as one that comes again
 
 
@@ -39,10 +38,10 @@
         self._net = net
         self._label = label
         self._peers = {seed.label: seed.endpoint for seed in seeds}
-        self._report_s = report_s
-        self._passed: dict[
-            str, tuple[float, bool]
-        ] = {}  # worker: when, and whether the leader heard none
+        self._recent_s = RECENT_REPORTS * report_s
+        # By worker: when its report was passed on, and whether the leader heard none then.
+        self._passed: dict[str, tuple[float, bool]] = {}
+        self._forgot_at = float("-inf")
         self._probe_at = float("-inf")
 
     async def handle(
@@ -58,14 +57,13 @@
             return redirect(None)
         now = asyncio.get_running_loop().time()
         at, hears_no_worker = self._passed.get(worker, (float("-inf"), True))
-        recent = now - at < RECENT_REPORTS * self._report_s
+        recent = now - at < self._recent_s
         if informed and recent and (not hears_no_worker or now - self._probe_at > PROBE_S):
             if hears_no_worker:
                 self._probe_at = now
             self._passed.pop(worker, None)
             return named
-        if not recent and len(self._passed) >= KNOWN_MOST:
-            self._passed.clear()
+        self._forget(now)
         try:
             reply = await self._net.call(
                 self._peers[leader_label], "POST", paths.REPORT, raw, timeout=TIMEOUT_S
@@ -85,3 +83,13 @@
             self._probe_at = now  # it has just tried
         self._passed[worker] = (now, hears_no_worker)
         return Reply(200, to_json_object(replace(answer, hears_no_worker=None)))
+
+    def _forget(self, now: float) -> None:
+        """Forget workers that have not come here of late, whatever their number."""
+        if now - self._forgot_at < self._recent_s:
+            return
+        self._forgot_at = now
+        earliest = now - self._recent_s
+        self._passed = {
+            worker: passed for worker, passed in self._passed.items() if passed[0] > earliest
+        }
--- a/spoolcourse/control/fleet/worker_registry.py
+++ b/spoolcourse/control/fleet/worker_registry.py
@@ -23,7 +23,9 @@
 log = logging.getLogger(__name__)
 
 INEFFECTIVE_ANSWERS_MAX = 3  # within a lease: later answers will have no effect either
-DELETED_NAMES_MAX = 5000  # remembered, since reports and lists of deleted machines come late
+# Names of deleted machines are remembered for so long, however many they are: reports and lists of
+# them come late, by minutes at most.
+DELETED_NAMES_KEPT_S = 3600.0
 LEASE_MARGIN_S = 1.0  # beyond a lease and the clocks' drift, for a worker to end its tasks
 RENEWED_SHARE = 0.8  # of a lease: an answer that recent should have renewed it
 
@@ -69,7 +71,8 @@
         self._reconciler = ReportReconciler(self, leader)
         self.commands = CommandBuilder(self, leader, clock)
         self.machines: dict[str, Machine] = {}
-        self.deleted_names: OrderedDict[str, None] = OrderedDict()  # names never come back
+        # When each was deleted, the earliest first; names never come back.
+        self.deleted_names: OrderedDict[str, float] = OrderedDict()
         self.pending_commands: set[str] = set()  # machines that may have something to be sent
         self.quiet_s = workers.quiet_s
 
@@ -119,8 +122,10 @@
 
     def confirm_deleted(self, name: str) -> None:
         """The cloud has confirmed that the machine and all on it are gone."""
-        self.deleted_names[name] = None
-        while len(self.deleted_names) > DELETED_NAMES_MAX:
+        now = self._clock()
+        self.deleted_names[name] = now
+        self.deleted_names.move_to_end(name)
+        while next(iter(self.deleted_names.values())) < now - DELETED_NAMES_KEPT_S:
             self.deleted_names.popitem(last=False)
         machine = self.machines.pop(name, None)
         if machine is not None:
--- a/spoolcourse/control/leader/base_machines.py
+++ b/spoolcourse/control/leader/base_machines.py
@@ -7,14 +7,13 @@
 from __future__ import annotations
 
 import logging
-
-import orjson
+from typing import Any
 
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.leadership.election import Term
 from spoolcourse.control.store.client import RefusedError, UnclearError
-from spoolcourse.control.store.keys import BASE, TERM
-from spoolcourse.control.store.records import base_machines, base_value
+from spoolcourse.control.store.keys import BASE, TERM, base_part_key
+from spoolcourse.control.store.records import base_machines, base_parts, base_values
 from spoolcourse.wire.messages import Host, HostStage
 from spoolcourse.wire.state_service import Put
 
@@ -35,26 +34,43 @@
     def names(self) -> frozenset[str]:
         """The machines that are not returned for being idle."""
         entry = self._watch_cache.get(BASE)
-        return base_machines(entry.value) if entry is not None else frozenset()
+        if entry is None:
+            return frozenset()
+        found = base_machines(entry.value)
+        for part in range(1, base_parts(entry.value) + 1):
+            further = self._watch_cache.get(base_part_key(part))
+            if further is not None:
+                found |= base_machines(further.value)
+        return found
 
     async def note(self, hosts: list[Host]) -> None:
-        """Note the ordinary machines that run, unless it is noted already."""
+        """Note the ordinary machines that run, unless it is noted already.
+
+        Further parts go first: the first value says how many there are, so it counts only once
+        all of them are there. Names that one value held were a few hundred; of a larger fleet
+        none was noted, and its idle machines were returned.
+        """
         if self._watch_cache.get(BASE) is not None:
             return
-        value = self._value(hosts)
-        conditions = {BASE: 0, TERM: self._term.revision}
+        first, *others = base_values(self._found(hosts), self._value_bytes)
+        for part, value in enumerate(others, start=1):
+            if not await self._put(base_part_key(part), value, {}):
+                return
+        await self._put(BASE, first, {BASE: 0})
+
+    async def _put(self, key: str, value: dict[str, Any], conditions: dict[str, int]) -> bool:
+        """Write one value if this term goes on; whether it is written."""
+        conditions = conditions | {TERM: self._term.revision}
         try:
-            outcome = await self._client.txn(conditions, [Put(BASE, value)])
+            outcome = await self._client.txn(conditions, [Put(key, value)])
         except (RefusedError, UnclearError) as exc:
             log.info("the fleet found at the start is not noted yet: %s", exc)
-            return
+            return False
         if outcome.ok:
-            self._watch_cache.apply(BASE, value, outcome.store_revision)
+            self._watch_cache.apply(key, value, outcome.store_revision)
+        return outcome.ok
 
-    def _value(self, hosts: list[Host]) -> dict[str, object]:
+    def _found(self, hosts: list[Host]) -> list[str]:
         if self._term.number != FIRST_TERM:
-            return base_value([])  # some may have been rented by an earlier leader
-        value = base_value([h.id for h in hosts if not h.spot and h.stage is HostStage.RUNNING])
-        if len(orjson.dumps(value)) > self._value_bytes:
-            return base_value([])  # a fleet of that size is not kept by name
-        return value
+            return []  # some may have been rented by an earlier leader
+        return [h.id for h in hosts if not h.spot and h.stage is HostStage.RUNNING]
--- a/spoolcourse/control/leader/scheduling_loop.py
+++ b/spoolcourse/control/leader/scheduling_loop.py
@@ -13,6 +13,7 @@
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.jobs.job_queue import JobQueue, JobState
 from spoolcourse.control.machines.autoscaler import FleetAutoscaler
+from spoolcourse.control.machines.cloud import hires_most
 from spoolcourse.control.machines.planner import Hire, Offer, plan_hires, top_up
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.model import Decision, Plan, Snapshot
@@ -25,6 +26,11 @@
 log = logging.getLogger(__name__)
 
 ATTEMPT_BITS = 24  # of an attempt's number, below those of the term: no leader reuses one
+ATTEMPTS_MOST = (1 << ATTEMPT_BITS) - 1  # of one term
+
+
+class AttemptNumbersSpentError(Exception):
+    """The next number would be one of the next term's. A new term has numbers again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +145,8 @@
         machine = self._snapshot_builder.machines[decision.node]
         chosen = list(islice(job_state.candidates(), decision.count))
         for task in chosen:
+            if self._attempts >= ATTEMPTS_MOST:
+                raise AttemptNumbersSpentError
             self._attempts += 1
             number = (self._registry.fencing_token << ATTEMPT_BITS) + self._attempts
             attempt = self._job_queue.assign(job_state, task, machine.id, number, now)
@@ -170,9 +178,10 @@
             return
         offers = self._offers()
         demand = [(snapshot.jobs[i], count) for i, count in plan.unplaced.items()]
-        hires = plan_hires(demand, snapshot.nodes, offers, now, team_room)
+        most = hires_most(self._params.cloud.rps)
+        hires = plan_hires(demand, snapshot.nodes, offers, now, team_room, most)
         short_cpus -= sum(hire.count * hire.offer.cpus for hire in hires)
-        hires += top_up(short_cpus, offers)
+        hires += top_up(short_cpus, offers, len(snapshot.nodes))
         if hires:
             self._autoscaler.renting.want([(self._kind(hire), hire.count) for hire in hires])
 
--- a/spoolcourse/control/machines/autoscaler.py
+++ b/spoolcourse/control/machines/autoscaler.py
@@ -13,7 +13,7 @@
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.load import SUMMARY_S
-from spoolcourse.control.machines.cloud import CloudError, NoCapacityError
+from spoolcourse.control.machines.cloud import CloudError, NoCapacityError, deletions_most
 from spoolcourse.control.machines.early_deletion import EarlyDeletion
 from spoolcourse.control.machines.fleet_summary import log_fleet
 from spoolcourse.control.machines.fleet_view import FleetView
@@ -68,6 +68,7 @@
         owner: AutoscalerOwner,
     ) -> None:
         self._cloud = context.cloud
+        self._deletions_most = deletions_most(context.params.cloud.rps)
         self._clock = context.clock
         self._registry = registry
         self._owner = owner
@@ -109,8 +110,8 @@
                 log_fleet(self._registry, self._view)
                 self._owner.on_summary()
             names = self._returning.machines(leads=self._owner.may_start())
-            if names:
-                await self._delete(names[:DELETE_MAX])
+            for start in range(0, min(len(names), self._deletions_most), DELETE_MAX):
+                await self._delete(names[start : start + DELETE_MAX])
 
     async def _delete(self, names: list[str]) -> None:
         for name in names:
--- a/spoolcourse/control/machines/cloud.py
+++ b/spoolcourse/control/machines/cloud.py
@@ -7,7 +7,15 @@
 from spoolcourse.control.net import Net, NetError, Reply
 from spoolcourse.control.store.budget import BudgetSpentError, TokenBucket
 from spoolcourse.wire import paths
-from spoolcourse.wire.cloud import NO_CAPACITY, MachineKind, delete_body, hire_body, list_path
+from spoolcourse.wire.cloud import (
+    DELETE_MAX,
+    HIRE_MAX,
+    NO_CAPACITY,
+    MachineKind,
+    delete_body,
+    hire_body,
+    list_path,
+)
 from spoolcourse.wire.messages import Catalog, Hired, Host, HostPage, MalformedError, parse
 
 log = logging.getLogger(__name__)
@@ -17,6 +25,16 @@
 QUEUE_S = 10.0  # that a call waits for the budget before it is given up
 
 
+def hires_most(rps: float) -> int:
+    """Machines to ask for at a time: what the leader's calls of about a second can rent."""
+    return HIRE_MAX * max(1, int(rps * LEADER_SHARE))
+
+
+def deletions_most(rps: float) -> int:
+    """Machines to delete at a time: half of the calls of about a second, for others wait too."""
+    return DELETE_MAX * max(1, int(rps * LEADER_SHARE / 2))
+
+
 class CloudError(Exception):
     """Not carried out, or not known whether it was."""
 
--- a/spoolcourse/control/machines/machine_list.py
+++ b/spoolcourse/control/machines/machine_list.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 
 from spoolcourse.control.context import ControllerContext
+from spoolcourse.control.fleet.call_limit import calls_at_once
 from spoolcourse.control.fleet.machine import Machine
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.machines.cloud import CloudError
@@ -20,9 +21,9 @@
 
 LIST_PERIOD_S = 2.0  # at least; half of the list's lag if that is longer
 CALL_TIMEOUT_S = 1.0
-# Machines asked at once. Those behind a cut let the call time out, so with a few at once a
-# takeover would grow by a second for every few silent machines.
-CALLS_MAX = 64
+# Machines asked at once, at least. Those behind a cut let the call time out, so with a few at
+# once a takeover would grow by a second for every few silent machines.
+CALLS_LEAST = 64
 
 
 class MachineListLoop:
@@ -38,6 +39,7 @@
         self._net = context.net
         self._cloud = context.cloud
         self._clock = context.clock
+        self._sockets = context.params.machine_limits.sockets
         self._period_s = max(LIST_PERIOD_S, context.params.cloud.list_lag_s / 2)
         self._registry = registry
         self._view = view
@@ -81,7 +83,8 @@
 
         The request carries no commands. They may be reporting to a node that can't know of us.
         """
-        gate = asyncio.Semaphore(CALLS_MAX)
+        machines = len(self._registry.machines)
+        gate = asyncio.Semaphore(calls_at_once(CALLS_LEAST, machines, self._sockets))
 
         async def raise_one(machine: Machine) -> None:
             async with gate:
--- a/spoolcourse/control/machines/planner.py
+++ b/spoolcourse/control/machines/planner.py
@@ -6,10 +6,11 @@
 from dataclasses import dataclass, replace
 
 from spoolcourse.control.placement.model import EPSILON, Job, Node, fit, share_out
+from spoolcourse.wire.cloud import HIRE_MAX
 
 LONGEST_S = 3600.0  # that a task is taken to run at most, for its price
-HIRES_MAX = 50  # machines asked for by one pass
-TOP_UP_MAX = 10  # of them for headroom
+TOP_UP_LEAST = 10  # machines asked for by one pass for headroom
+TOP_UP_SHARE = 0.02  # of the fleet, the same in a large one
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,9 +123,12 @@
     offers: list[Offer],
     now: float,
     team_room: list[float],
-    most: int = HIRES_MAX,
+    most: int = HIRE_MAX,
 ) -> list[Hire]:
-    """`demand` is in order: jobs with tasks that found no machine in the pass."""
+    """What to ask for, `most` machines in all.
+
+    `demand` is in order: jobs with tasks that found no machine in the pass.
+    """
     boot = min((o.boot_s for o in offers), default=0.0)
     freed_soon = _FreedSoon(nodes, now, boot)
     coming = [replace(n) for n in nodes if n.ready_at > now]
@@ -141,31 +145,45 @@
         if job.cpus > 0:
             count -= freed_soon.take(job, zones, count)
         count = _fill(job, zones, count, coming)
-        while count > 0 and sum(hires.values()) < most:
+        while count > 0 and most > 0:
             offer = _best_offer(job, zones, count, offers, now)
             if offer is None:
                 break
-            hires[offer] = hires.get(offer, 0) + 1
-            fresh = Node(
-                offer.machine_type,
-                offer.zone,
-                offer.spot,
-                offer.cpus,
-                offer.gpus,
-                offer.memory,
-                size=offer.cpus,
-                fetch_rate=0.0,
-            )
-            coming.append(fresh)
-            count = _fill(job, zones, count, [fresh])
+            machines = min(most, _alike(job, zones, count, offer))
+            most -= machines
+            hires[offer] = hires.get(offer, 0) + machines
+            fresh = [_fresh_node(offer) for _ in range(machines)]
+            coming += fresh
+            count = _fill(job, zones, count, fresh)
     return [Hire(offer, count) for offer, count in hires.items()]
 
 
-def top_up(short: float, offers: list[Offer], most: int = TOP_UP_MAX) -> list[Hire]:
+def _alike(job: Job, zones: _Zones, count: int, offer: Offer) -> int:
+    """How many machines of the offer stay the best one for so many tasks: each full of them."""
+    slots = fit(offer.cpus, offer.gpus, offer.memory, job)
+    return max(1, min(count, zones.room(offer.zone)) // slots)
+
+
+def _fresh_node(offer: Offer) -> Node:
+    return Node(
+        offer.machine_type,
+        offer.zone,
+        offer.spot,
+        offer.cpus,
+        offer.gpus,
+        offer.memory,
+        size=offer.cpus,
+        fetch_rate=0.0,
+    )
+
+
+def top_up(short: float, offers: list[Offer], machines: int = 0) -> list[Hire]:
     """Spot machines, the cheapest by CPU, to have `short` CPUs more at hand.
 
-    Whatever is started on them later does not wait for a machine to boot.
+    Whatever is started on them later does not wait for a machine to boot. `machines`: those that
+    there are.
     """
+    most = max(TOP_UP_LEAST, int(machines * TOP_UP_SHARE))
     hires = []
     cheap = sorted((o for o in offers if o.spot and o.cpus > 0), key=lambda o: o.price / o.cpus)
     for offer in cheap:
--- a/spoolcourse/control/machines/renting.py
+++ b/spoolcourse/control/machines/renting.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from spoolcourse.control.context import ControllerContext
@@ -12,7 +12,7 @@
 from spoolcourse.control.machines.cloud import CloudError, NoCapacityError
 from spoolcourse.control.machines.fleet_view import FleetView
 from spoolcourse.policy.keys import Policy
-from spoolcourse.wire.cloud import MachineKind
+from spoolcourse.wire.cloud import HIRE_MAX, MachineKind
 
 log = logging.getLogger(__name__)
 
@@ -28,6 +28,14 @@
     pause_s: float
 
 
+def _requests(count: int) -> Iterator[int]:
+    """The sizes of the requests that ask for so many machines."""
+    while count > 0:
+        asked = min(count, HIRE_MAX)
+        yield asked
+        count -= asked
+
+
 class Renting:
     """Asks for what the last pass wanted."""
 
@@ -74,8 +82,9 @@
             wanted, self._wanted = self._wanted, []
             self._asking = True
             for kind, count in wanted:
-                if self._may_rent() and self.may_ask_for(kind):
-                    await self._rent(kind, count)
+                for asked in _requests(count):
+                    if self._may_rent() and self.may_ask_for(kind):
+                        await self._rent(kind, asked)
             self._asking = False
 
     async def _rent(self, kind: MachineKind, count: int) -> None:
--- a/spoolcourse/control/machines/returning.py
+++ b/spoolcourse/control/machines/returning.py
@@ -57,7 +57,7 @@
         )
 
     def machines(self, leads: bool) -> list[str]:
-        """The names of the machines to be deleted now.
+        """The names of the machines to be deleted now, the most pressing ones first.
 
         After a standstill, or cut off from the state service, this node may lead no more
         (`leads`): what looks idle or silent here may be at work for another. What a withdrawn
@@ -73,7 +73,8 @@
         base = self._base()
         spare_cpus = -self._surplus.short_cpus(now)
         self._surplus.mark(now, base, reserved)
-        names = []
+        pressing: list[str] = []
+        names: list[str] = []
         for machine in self._registry.machines.values():
             reason = self._reason(machine, now, blind, overdue)
             if reason is None and machine.id in early:
@@ -88,8 +89,10 @@
                 continue
             if not machine.deleting:
                 log.info("%s: returned: %s", machine.id, reason)
-            names.append(machine.id)
-        return names
+            # One round deletes a bounded number: what must be gone in time does not wait in line.
+            held_too_long = self._cancelled.may_be_on(machine, overdue)
+            (pressing if held_too_long else names).append(machine.id)
+        return pressing + names
 
     def _isolated(self) -> bool:
         """Most machines silent at once: more likely we are cut off than they are dead."""
--- a/spoolcourse/control/server.py
+++ b/spoolcourse/control/server.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
+from math import inf
 from typing import Any
 
 import orjson
@@ -34,6 +35,7 @@
 
 IDLE_S = 30.0  # users and workers ask every few seconds; peers let go after 20 s themselves
 SWEEP_S = 5.0
+KEPT_SHARE = 0.7  # of the process' sockets: beyond it connections end with their answers
 QUEUE_MOST = 8  # requests sent ahead of their answers on one connection
 _HEADS = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
@@ -59,11 +61,14 @@
 class Connection(BaseProtocol):
     """One client: its requests are answered in turn."""
 
-    def __init__(self, handler: Handler, open_ones: set[Connection]) -> None:
+    def __init__(
+        self, handler: Handler, open_ones: set[Connection], kept_most: float = inf
+    ) -> None:
         loop = asyncio.get_running_loop()
         super().__init__(loop, HttpRequestParser(self, loop, BODY_LIMIT, auto_decompress=False))
         self._handler = handler
         self._open = open_ones
+        self._kept_most = kept_most
         self._queue: deque[tuple[RawRequestMessage, StreamReader]] = deque()
         self._task: asyncio.Task[None] | None = None
         self._continued = False
@@ -170,6 +175,9 @@
         if self.transport is None:
             return
         self.active_at = self._loop.time()
+        # With a connection for each worker a fleet larger than the sockets would keep the
+        # others out until their leases run out; so the connections of some are for one request.
+        close = close or len(self._open) > self._kept_most
         try:
             raw = encode(reply, close)
         except Exception:
@@ -177,6 +185,7 @@
             raw = encode(later("internal"), close)
         self.transport.write(raw)
         if close:
+            self._open.discard(self)
             self._queue.clear()
             self.transport.close()
 
@@ -206,11 +215,16 @@
 
 
 async def listen(
-    addr: tuple[str, int], handler: Handler, idle_s: float = IDLE_S, sweep_s: float = SWEEP_S
+    addr: tuple[str, int],
+    handler: Handler,
+    idle_s: float = IDLE_S,
+    sweep_s: float = SWEEP_S,
+    sockets: int = 0,
 ) -> Server:
-    """Serve `handler` on an address."""
+    """Serve `handler` on an address; `sockets` that the process may have, 0 if not known."""
     loop = asyncio.get_running_loop()
     open_ones: set[Connection] = set()
+    kept_most = sockets * KEPT_SHARE if sockets else inf
 
     async def sweep() -> None:
         # Peers behind a cut never say that they are gone; their sockets count.
@@ -221,6 +235,10 @@
                 connection.shut()
 
     server = await loop.create_server(
-        lambda: Connection(handler, open_ones), addr[0], addr[1], reuse_address=True, backlog=512
+        lambda: Connection(handler, open_ones, kept_most),
+        addr[0],
+        addr[1],
+        reuse_address=True,
+        backlog=512,
     )
     return Server(server, loop.create_task(sweep()))
--- a/spoolcourse/control/store/keys.py
+++ b/spoolcourse/control/store/keys.py
@@ -12,6 +12,11 @@
 FINAL = PREFIX + "fin/"
 
 
+def base_part_key(part: int) -> str:
+    """The key of a further part of the machines found at the first start; the first is `BASE`."""
+    return f"{BASE}/{part}"
+
+
 def job_key(job: str) -> str:
     """The key of a live job's record."""
     return JOB + job
--- a/spoolcourse/control/store/records.py
+++ b/spoolcourse/control/store/records.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 import msgspec
+import orjson
 
 from spoolcourse.wire.messages import Catalog, JobStage, MachineType, Submission
 
@@ -85,6 +86,7 @@
         return int(value["done"], 16).bit_count(), len(value["held"])
 
 
+BASE_FORM_BYTES = 40  # of the machines found at the first start: the form around the names
 HELD_BYTES = 48  # of a held task in a progress value, at the most
 CHUNK_LEAST = 16  # tasks
 
@@ -155,9 +157,33 @@
         return value.get("run")
 
 
-def base_value(machines: list[str]) -> dict[str, Any]:
-    """The machines that were found when the service first ran."""
-    return {"machines": machines}
+def base_value(machines: list[str], parts: int = 0) -> dict[str, Any]:
+    """The machines that were found when the service first ran, or as many as a value holds.
+
+    The others are in so many further parts, each a value of the same form.
+    """
+    return {"machines": machines} | ({"parts": parts} if parts else {})
+
+
+def base_parts(value: dict[str, Any]) -> int:
+    """How many further parts belong to a stored form."""
+    return int(value.get("parts", 0))
+
+
+def base_values(machines: list[str], value_bytes: float) -> list[dict[str, Any]]:
+    """Stored forms that hold all the names, none larger than a value may be."""
+    room = int(value_bytes) - BASE_FORM_BYTES
+    chunks: list[list[str]] = [[]]
+    used = 0
+    for name in machines:
+        size = len(orjson.dumps(name)) + 1  # its separator
+        if used + size > room and chunks[-1]:
+            chunks.append([])
+            used = 0
+        chunks[-1].append(name)
+        used += size
+    first, *others = chunks
+    return [base_value(first, len(others)), *(base_value(chunk) for chunk in others)]
 
 
 def base_machines(value: dict[str, Any]) -> frozenset[str]:
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -231,10 +231,14 @@
         if url.path == "/catalog":
             return Reply(200, {"builds": [BUILD]})
         if url.path == "/hosts/delete":
+            if len(body["spindles"]) > 100:
+                return Reply(400, {"error": "too many names"})
             for name in body["spindles"]:
                 self.take(name)
             return Reply(200, {})
         if method == "POST":
+            if body["count"] > 50:
+                return Reply(400, {"error": "too many machines"})
             if body["hire"] not in self.hires:
                 count = min(body["count"], self.capacity - len(self.hosts))
                 if count < 1:
@@ -243,9 +247,10 @@
                     self.add(body["yard"], body["loaners"], self.boot_s) for _ in range(count)
                 ]
             return Reply(200, {"spindles": self.hires[body["hire"]]})
-        since = parse_qs(url.query).get("since", [""])[0]
+        query = parse_qs(url.query)
+        since, page = query.get("since", [""])[0], int(query["page"][0])
         now = asyncio.get_running_loop().time()
         found = [
             h | {"ageS": now - self.rented[n]} for n, h in sorted(self.hosts.items()) if n > since
         ]
-        return Reply(200, {"spindles": found, "hasNext": False})
+        return Reply(200, {"spindles": found[:page], "hasNext": len(found) > page})
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,154 @@
+"""A fleet of 4,000 machines and more: what is counted, kept and bounded. No times are measured."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import orjson
+
+from spoolcourse.control.fleet.call_limit import calls_at_once
+from spoolcourse.control.fleet.relay import Relay
+from spoolcourse.control.fleet.worker_registry import DELETED_NAMES_KEPT_S
+from spoolcourse.control.leader.scheduling_loop import ATTEMPTS_MOST
+from spoolcourse.control.machines.planner import Offer, plan_hires
+from spoolcourse.control.net import Reply
+from spoolcourse.control.placement.model import Job, Node
+from spoolcourse.control.store.records import base_machines, base_values
+from spoolcourse.wire.settings import Seed
+from tests.fakes.clock import play
+from tests.fakes.registry import RegistryHarness
+from tests.fakes.world import World, job
+
+FLEET = 4000
+TEAMS = [{"name": "red", "cpus": 0.0, "cpus_max": 0.0}]
+
+
+def listed(world: World, count: int, stage: str) -> list[str]:
+    """Machines in the cloud's list that never report."""
+    names = [f"m-{number:06d}" for number in range(count)]
+    for name in names:
+        world.cloud.hosts[name] = {
+            "id": name,
+            "address": f"{name}:9000",
+            "build": "c8",
+            "yard": "a",
+            "loaners": False,
+            "stage": stage,
+        }
+        world.cloud.rented[name] = 0.0
+    return names
+
+
+def test_a_fleet_of_thousands_found_at_the_start_is_kept_by_name() -> None:
+    # What one value holds is a few hundred names; of a larger fleet none was noted, and machines
+    # of the operators were returned as idle.
+    async def story() -> None:
+        small = {"rps": 200.0, "write_rps": 100.0, "value_kb": 2.0, "txn_ops": 4}
+        world = World(params={"state": small, "teams": TEAMS})
+        world.state.value_bytes, world.state.txn_ops = 2048, 4
+        names = frozenset(listed(world, FLEET, "running"))
+        await world.up()
+
+        def base() -> Any:
+            term = world.nodes[str(world.leader)].leader_term if world.leader else None
+            return term.base() if term is not None else None
+
+        await world.until(lambda: base() == names, 30)
+        world.kill(str(world.leader))
+        await world.until(lambda: base() is not None, 30)
+        assert base() == names, "the next leader knows them too"
+        assert world.state.refused == 0
+
+    play(story())
+
+
+def test_parts_of_the_base_fleet_hold_each_name_once_in_the_known_form() -> None:
+    names = [f"m-{number:06d}" for number in range(FLEET)]
+    values = base_values(names, 2048)
+    assert all(len(orjson.dumps(value)) <= 2048 for value in values)
+    assert [name for value in values for name in value["machines"]] == names
+    assert base_machines(values[0]) == frozenset(values[0]["machines"]), "as versions before read"
+    assert base_values([], 2048) == [{"machines": []}]
+
+
+def test_names_of_deleted_machines_are_kept_by_age_and_not_by_number() -> None:
+    # 5,000 names were remembered: with an hour's turnover of a large fleet a late report brought
+    # a machine back that was gone.
+    world = RegistryHarness()
+    for number in range(2 * FLEET):
+        world.registry.confirm_deleted(f"m-{number:06d}")
+        world.now += 0.1
+    assert world.report(spindle="m-000000") is None, "a late report of the first one"
+    assert "m-000000" not in world.registry.machines
+    world.now += DELETED_NAMES_KEPT_S
+    world.registry.confirm_deleted("m-999999")
+    assert list(world.registry.deleted_names) == ["m-999999"]
+
+
+def test_a_follower_remembers_all_workers_that_come_to_it_of_late() -> None:
+    # All were forgotten at 10,000 names, gone ones among them.
+    class LeaderNet:
+        async def call(self, *args: Any, **options: Any) -> Reply:
+            return Reply(200, {"baton": 1, "orders": []})
+
+    async def story() -> None:
+        relay = Relay(LeaderNet(), "n0", [Seed("n1", "n1:81")], report_s=1.5)
+        statuses = []
+        for _ in range(2):
+            for number in range(3 * FLEET):
+                reply = await relay.handle(f"m-{number:06d}", b"{}", "n1", informed=True)
+                statuses.append(reply.status)
+        assert statuses == [200] * (3 * FLEET) + [421] * (3 * FLEET), "then sent to the leader"
+
+    play(story())
+
+
+def test_machines_are_rented_and_deleted_at_the_clouds_pace() -> None:
+    # 50 machines a pass and 100 deletions a second, whatever the cloud takes: a fleet of 4,000
+    # would have come up, and been replaced, at the service's pace.
+    async def story() -> None:
+        world = World(params={"teams": TEAMS})
+        world.cloud.capacity = 1700
+        await world.up()
+        failed = listed(world, 1200, "failed")
+        world.cloud._made = len(failed)
+        await world.submit(job(pieces=300, vcpus=8.0))
+        await world.until(lambda: len(world.cloud.hires) >= 6, 3)
+        assert sum(len(names) for names in world.cloud.hires.values()) >= 300
+        await world.until(lambda: not set(failed) & set(world.cloud.hosts), 8)
+
+    play(story())
+
+
+def test_a_plan_for_thousands_of_machines_asks_for_whole_batches() -> None:
+    offers = [Offer(0, 0, True, 8.0, 0.0, 64.0, price=1.0, boot_s=10.0)]
+    waiting = Job(9 * FLEET, 2.0, 0.0, 1.0, image=0, image_gb=0.0, team=0, estimate=10.0)
+    fleet: list[Node] = []
+    hires = plan_hires([(waiting, 9 * FLEET)], fleet, offers, 0.0, [1e9], most=FLEET)
+    assert [(hire.offer, hire.count) for hire in hires] == [(offers[0], FLEET)]
+    hires = plan_hires([(waiting, 9)], fleet, offers, 0.0, [1e9], most=FLEET)
+    assert [hire.count for hire in hires] == [3], "no more than the tasks need"
+
+
+def test_calls_at_once_grow_with_the_fleet_within_the_sockets() -> None:
+    assert calls_at_once(192, 200, 700) == 192
+    assert calls_at_once(192, FLEET, 0) == 500
+    assert calls_at_once(192, FLEET, 1500) == 375
+    assert calls_at_once(64, FLEET, 700) == 175
+
+
+def test_a_term_that_has_used_up_its_attempt_numbers_is_followed_by_another() -> None:
+    # Beyond 2**24 they would have been the numbers of the next term: one number for two attempts.
+    async def story() -> None:
+        world = World()
+        await world.up()
+        first = world.nodes[str(world.leader)].leader_term
+        assert first is not None
+        first.scheduling._attempts = ATTEMPTS_MOST - 2
+        await world.submit(job(pieces=6))
+        await world.finish()
+        assert all(node.leader_term is not first for node in world.nodes.values())
+        assert sorted(n for _, n, _ in world.cloud.starts) == [f"job-000001/{i}" for i in range(6)]
+        assert world.cloud.broken == []
+
+    play(story())
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -141,3 +141,28 @@
         server.close()
 
     asyncio.run(main())
+
+
+def test_with_few_sockets_left_connections_end_with_their_answers() -> None:
+    # A connection kept for each worker uses up the sockets of a controller with fewer than
+    # workers: the others got no connection, and their leases ran out.
+    async def story(first: Streams) -> None:
+        address = first[1].get_extra_info("peername")
+        clients = [first, *[await asyncio.open_connection(*address) for _ in range(9)]]
+        for _, writer in clients:
+            writer.write(post("/report", b"{}"))
+        assert [(await answer(reader))[0] for reader, _ in clients] == [200] * 10
+        ended = [await _ends(reader) for reader, _ in clients]
+        assert ended.count(False) == 7, "as many are kept as leave room for others"
+        for _, writer in clients:
+            writer.close()
+
+    served(story, sockets=10)
+
+
+async def _ends(reader: asyncio.StreamReader) -> bool:
+    try:
+        async with asyncio.timeout(0.05):
+            return await reader.read() == b""
+    except TimeoutError:
+        return False
--- a/tests/test_unresponsive_machines.py
+++ b/tests/test_unresponsive_machines.py
@@ -154,7 +154,7 @@
     # A zone cut off: every call there hangs until it times out. Guards against a call for
     # each machine at once, and against connections to a whole fleet kept open beside those
     # that the reports come on.
-    monkeypatch.setattr(command_dispatcher, "AT_ONCE", 6)
+    monkeypatch.setattr(command_dispatcher, "CALLS_LEAST", 6)
 
     async def story() -> None:
         world = World()
