One place for calls to workers, for the gap between reports, and for values written once

The dispatcher, the raising of tokens and the probe of late machines each sent a request to a worker and read the report that answers it; the base fleet and the feature level each wrote a note once; the longest time to the next report was worked out in two places.

--- a/spoolcourse/control/fleet/command_dispatcher.py
+++ b/spoolcourse/control/fleet/command_dispatcher.py
@@ -12,15 +12,14 @@
 
 from spoolcourse.control.fleet.call_limit import calls_at_once
 from spoolcourse.control.fleet.machine import Machine
+from spoolcourse.control.fleet.worker_calls import send_commands
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.net import Net, NetError
-from spoolcourse.wire import paths
-from spoolcourse.wire.commands import CommandRequest, Start, to_json_object
-from spoolcourse.wire.messages import MalformedError, Report, parse
+from spoolcourse.wire.commands import CommandRequest, Start
+from spoolcourse.wire.messages import MalformedError
 
 log = logging.getLogger(__name__)
 
-TIMEOUT_S = 1.0
 PAUSE_S = 10.0
 CALLS_LEAST = 192  # calls that may be under way at once in a small fleet
 SPARE = 0.15  # of the sockets, for users, peers and what is under way
@@ -74,21 +73,15 @@
             ]
             request = CommandRequest(self._registry.fencing_token, session, commands)
             try:
-                reply = await self._net.call(
-                    machine.address,
-                    "POST",
-                    paths.COMMANDS,
-                    to_json_object(request),
-                    timeout=TIMEOUT_S,
-                    keep=self.may_keep(),
+                report = await send_commands(
+                    self._net, machine.address, request, keep=self.may_keep()
                 )
-                report = parse(reply.data, Report)
             except (NetError, MalformedError) as exc:
                 # Until it can be reached, the report responses have to do.
                 machine.unreachable_until = asyncio.get_running_loop().time() + PAUSE_S
                 log.debug("%s: %d commands without an answer: %s", machine.id, len(commands), exc)
                 return
-            if reply.status in (200, 409) and report.machine == machine.id:
+            if report.machine == machine.id:
                 for attempt in attempts:
                     attempt.in_flight_session = None
                 self._registry.observe(report)
--- /dev/null
+++ b/spoolcourse/control/fleet/worker_calls.py
@@ -0,0 +1,34 @@
+"""Calls to workers' own addresses. Every answer is the worker's report."""
+
+from __future__ import annotations
+
+from spoolcourse.control.net import Net, NetError
+from spoolcourse.wire import paths
+from spoolcourse.wire.commands import CommandRequest, to_json_object
+from spoolcourse.wire.messages import Report, parse
+
+TIMEOUT_S = 1.0
+EXECUTED = 200
+REFUSED = 409  # for its fencing token or its session; nothing was executed
+
+
+async def fetch_report(net: Net, address: str) -> Report:
+    """What the worker reports now; raises `NetError` or `MalformedError`."""
+    reply = await net.call(address, "GET", paths.SHOW, timeout=TIMEOUT_S, keep=False)
+    return parse(reply.data, Report)
+
+
+async def send_commands(
+    net: Net, address: str, request: CommandRequest, keep: bool = False
+) -> Report:
+    """The worker's report after the commands, executed or refused.
+
+    Raises `NetError` or `MalformedError`; the commands may then be executed late. `keep`: the
+    connection may stay open.
+    """
+    body = to_json_object(request)
+    reply = await net.call(address, "POST", paths.COMMANDS, body, timeout=TIMEOUT_S, keep=keep)
+    report = parse(reply.data, Report)
+    if reply.status not in (EXECUTED, REFUSED):
+        raise NetError(f"{paths.COMMANDS}: status {reply.status}")
+    return report
--- a/spoolcourse/control/leader/base_machines.py
+++ b/spoolcourse/control/leader/base_machines.py
@@ -6,18 +6,14 @@
 
 from __future__ import annotations
 
-import logging
 from typing import Any
 
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.leadership.election import Term
-from spoolcourse.control.store.client import RefusedError, UnclearError
+from spoolcourse.control.store.conditional_write import write_if
 from spoolcourse.control.store.keys import BASE, TERM, base_part_key
 from spoolcourse.control.store.records import base_machines, base_parts, base_values
 from spoolcourse.wire.messages import Host, HostStage
-from spoolcourse.wire.state_service import Put
-
-log = logging.getLogger(__name__)
 
 FIRST_TERM = 1
 
@@ -61,14 +57,7 @@
     async def _put(self, key: str, value: dict[str, Any], conditions: dict[str, int]) -> bool:
         """Write one value if this term goes on; whether it is written."""
         conditions = conditions | {TERM: self._term.revision}
-        try:
-            outcome = await self._client.txn(conditions, [Put(key, value)])
-        except (RefusedError, UnclearError) as exc:
-            log.info("the fleet found at the start is not noted yet: %s", exc)
-            return False
-        if outcome.ok:
-            self._watch_cache.apply(key, value, outcome.store_revision)
-        return outcome.ok
+        return await write_if(self._client, self._watch_cache, key, value, conditions)
 
     def _found(self, hosts: list[Host]) -> list[str]:
         if self._term.number != FIRST_TERM:
--- a/spoolcourse/control/leadership/feature_level.py
+++ b/spoolcourse/control/leadership/feature_level.py
@@ -13,13 +13,12 @@
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.leadership.election import Term
 from spoolcourse.control.leadership.peers import ask_peers
-from spoolcourse.control.store.client import RefusedError, UnclearError
+from spoolcourse.control.store.conditional_write import write_if
 from spoolcourse.control.store.keys import LEVEL, TERM
 from spoolcourse.control.store.records import level_of, level_value
 from spoolcourse.control.store.watch_cache import WatchCache
 from spoolcourse.wire import paths
 from spoolcourse.wire.peers import LevelReply
-from spoolcourse.wire.state_service import Put
 
 log = logging.getLogger(__name__)
 
@@ -59,13 +58,7 @@
     async def _note(self) -> None:
         value = level_value(SERVICES)
         conditions = {LEVEL: self._watch_cache.revision(LEVEL), TERM: self._term.revision}
-        try:
-            outcome = await self._client.txn(conditions, [Put(LEVEL, value)])
-        except (RefusedError, UnclearError) as exc:
-            log.info("that all controllers are new is not noted yet: %s", exc)
-            return
-        if outcome.ok:
-            self._watch_cache.apply(LEVEL, value, outcome.store_revision)
+        if await write_if(self._client, self._watch_cache, LEVEL, value, conditions):
             log.info("all controllers are new: services are taken")
         else:
             await self._watch_cache.sync()
--- a/spoolcourse/control/machines/cancelled_work.py
+++ b/spoolcourse/control/machines/cancelled_work.py
@@ -9,7 +9,6 @@
 
 from spoolcourse.control.fleet.machine import Machine
 from spoolcourse.control.jobs.job_queue import JobQueue
-from spoolcourse.control.machines.replica_places import REPORT_JITTER
 from spoolcourse.wire.settings import Workers
 
 SHARE = 0.4  # of `cancel_s`: its tasks should have ended by then, and a deletion may need retries
@@ -41,7 +40,7 @@
         or a fleet that is about to be told would be deleted (and leases end what no leader that
         knows less may keep alive).
         """
-        next_report = REPORT_JITTER * self._workers.report_s + TRANSIT_S
+        next_report = self._workers.report_gap_s + TRANSIT_S
         left = self._workers.cancel_s - LAST_CALL_S - age_when_learned
         return min(self._workers.quiet_s, max(left, next_report))
 
--- a/spoolcourse/control/machines/machine_list.py
+++ b/spoolcourse/control/machines/machine_list.py
@@ -9,18 +9,17 @@
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.call_limit import calls_at_once
 from spoolcourse.control.fleet.machine import Machine
+from spoolcourse.control.fleet.worker_calls import fetch_report, send_commands
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.machines.cloud import CloudError
 from spoolcourse.control.machines.fleet_view import FleetView
 from spoolcourse.control.net import NetError
-from spoolcourse.wire import paths
-from spoolcourse.wire.commands import CommandRequest, to_json_object
-from spoolcourse.wire.messages import Host, HostStage, MalformedError, Report, parse
+from spoolcourse.wire.commands import CommandRequest
+from spoolcourse.wire.messages import Host, HostStage, MalformedError
 
 log = logging.getLogger(__name__)
 
 LIST_PERIOD_S = 2.0  # at least; half of the list's lag if that is longer
-CALL_TIMEOUT_S = 1.0
 # Machines asked at once, at least. Those behind a cut let the call time out, so with a few at
 # once a takeover would grow by a second for every few silent machines.
 CALLS_LEAST = 64
@@ -106,20 +105,9 @@
 
     async def _raise_token(self, machine: Machine) -> None:
         try:
-            shown = await self._net.call(
-                machine.address, "GET", paths.SHOW, timeout=CALL_TIMEOUT_S, keep=False
-            )
-            session = parse(shown.data, Report).session
+            session = (await fetch_report(self._net, machine.address)).session
             request = CommandRequest(self._registry.fencing_token, session, [])
-            reply = await self._net.call(
-                machine.address,
-                "POST",
-                paths.COMMANDS,
-                to_json_object(request),
-                timeout=CALL_TIMEOUT_S,
-                keep=False,
-            )
-            report = parse(reply.data, Report)
+            report = await send_commands(self._net, machine.address, request)
         except (NetError, MalformedError) as exc:
             log.debug("%s: fencing token not raised: %s", machine.id, exc)
             return
--- a/spoolcourse/control/machines/replica_places.py
+++ b/spoolcourse/control/machines/replica_places.py
@@ -15,7 +15,6 @@
 from spoolcourse.wire.messages import MachineType, fits
 from spoolcourse.wire.settings import Workers
 
-REPORT_JITTER = 1.25  # reports are sent every `report_s`, give or take a quarter
 LATE_S = 1.0  # for a report on its way, and for this process to get round to it
 
 
@@ -32,7 +31,7 @@
         self._registry = registry
         self._clock = clock
         self._machine_types = machine_types
-        self.late_s = REPORT_JITTER * workers.report_s + LATE_S
+        self.late_s = workers.report_gap_s + LATE_S
 
     def has_place_elsewhere(self, replica: Attempt) -> bool:
         """Whether some other machine takes the replica under the rules of any start.
--- a/spoolcourse/control/machines/replica_probe.py
+++ b/spoolcourse/control/machines/replica_probe.py
@@ -12,16 +12,15 @@
 from dataclasses import dataclass
 
 from spoolcourse.control.fleet.machine import Machine
+from spoolcourse.control.fleet.worker_calls import fetch_report
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.machines.replica_places import ReplicaPlaces, replicas_on
 from spoolcourse.control.net import Net, NetError
-from spoolcourse.wire import paths
-from spoolcourse.wire.messages import MalformedError, Report, parse
+from spoolcourse.wire.messages import MalformedError
 
 log = logging.getLogger(__name__)
 
 PERIOD_S = 0.5
-TIMEOUT_S = 1.0
 FAILURES_NEEDED = 2  # in a row; one call may be lost like one report
 PROBES_MAX = 64  # at once; calls behind a cut hang until they time out
 
@@ -95,10 +94,7 @@
     async def _probe(self, machine: Machine) -> None:
         reported_at = machine.reported_at
         try:
-            reply = await self._net.call(
-                machine.address, "GET", paths.SHOW, timeout=TIMEOUT_S, keep=False
-            )
-            self._registry.observe(parse(reply.data, Report))
+            self._registry.observe(await fetch_report(self._net, machine.address))
             self._failures.pop(machine.id, None)
         except (NetError, MalformedError) as exc:
             log.debug("%s: late, and does not answer: %s", machine.id, exc)
--- /dev/null
+++ b/spoolcourse/control/store/conditional_write.py
@@ -0,0 +1,33 @@
+"""One value written if its conditions hold, as notes of a term are."""
+
+from __future__ import annotations
+
+import logging
+from typing import Any
+
+from spoolcourse.control.store.client import RefusedError, StoreClient, UnclearError
+from spoolcourse.control.store.watch_cache import WatchCache
+from spoolcourse.wire.state_service import Put
+
+log = logging.getLogger(__name__)
+
+
+async def write_if(
+    client: StoreClient,
+    watch_cache: WatchCache,
+    key: str,
+    value: dict[str, Any],
+    conditions: dict[str, int],
+) -> bool:
+    """Write a value if the keys have these revisions; whether it is known to be written.
+
+    After False it may be written all the same, now or later: the watch cache will show that.
+    """
+    try:
+        outcome = await client.txn(conditions, [Put(key, value)])
+    except (RefusedError, UnclearError) as exc:
+        log.info("%s is not written yet: %s", key, exc)
+        return False
+    if outcome.ok:
+        watch_cache.apply(key, value, outcome.store_revision)
+    return outcome.ok
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -11,6 +11,8 @@
 
 from spoolcourse.errors import UserError
 
+REPORT_JITTER = 1.25  # reports are sent every `report_s`, give or take a quarter
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 Amount = Annotated[float, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -68,6 +70,11 @@
     lease_s: Positive
     cancel_s: Positive
 
+    @property
+    def report_gap_s(self) -> float:
+        """The longest time between two reports that is as it should be."""
+        return REPORT_JITTER * self.report_s
+
     @property
     def quiet_s(self) -> float:
         """A worker that was not heard for so long has missed two reports for certain."""
--- a/tests/fakes/registry.py
+++ b/tests/fakes/registry.py
@@ -16,7 +16,7 @@
 
 
 class RegistryHarness:
-    """A roster with one machine and one job."""
+    """A worker registry with one machine and one job."""
 
     def __init__(self, **fields: Any) -> None:
         self.now = 100.0
