--- a/spoolcourse/control/fleet/call_limit.py
+++ b/spoolcourse/control/fleet/call_limit.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 MACHINES_PER_CALL = 8
-SOCKETS_SHARE = 0.25  # of a controller's, for calls to machines
+SOCKETS_SHARE = 0.2  # of a controller's, for calls to machines
 
 
 def calls_at_once(least: int, machines: int, sockets: int) -> int:
--- a/spoolcourse/control/server.py
+++ b/spoolcourse/control/server.py
@@ -35,7 +35,7 @@
 
 IDLE_S = 30.0  # users and workers ask every few seconds; peers let go after 20 s themselves
 SWEEP_S = 5.0
-KEPT_SHARE = 0.7  # of the process' sockets: beyond it connections end with their answers
+KEPT_SHARE = 0.65  # of the process' sockets: beyond it connections end with their answers
 QUEUE_MOST = 8  # requests sent ahead of their answers on one connection
 _HEADS = {
     status.value: f"HTTP/1.1 {status.value} {status.phrase}\r\n".encode() for status in HTTPStatus
