--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterator
+from math import inf
 from typing import Any
 
 import orjson
 
 from spoolcourse.control.fleet.call_limit import calls_at_once
+from spoolcourse.control.fleet.machine import Machine
 from spoolcourse.control.fleet.relay import Relay
 from spoolcourse.control.fleet.worker_registry import DELETED_NAMES_KEPT_S
 from spoolcourse.control.leader.scheduling_loop import ATTEMPTS_MOST
 from spoolcourse.control.machines.planner import Offer, plan_hires
 from spoolcourse.control.net import Reply
-from spoolcourse.control.placement.model import Job, Node
+from spoolcourse.control.placement.backfill import place
+from spoolcourse.control.placement.model import Job, Node, RunningTask, Snapshot, Team
 from spoolcourse.control.store.records import base_machines, base_values
 from spoolcourse.control.store.watch_cache import CHANGES_MOST
 from spoolcourse.wire.settings import Seed
@@ -195,3 +199,55 @@
         assert world.cloud.broken == []
 
     play(story())
+
+
+def test_a_pass_with_a_backlog_looks_at_each_full_machine_a_few_times() -> None:
+    # Fleet times backlog would be 1.2 million looks at 4,000 machines and 300 waiting jobs.
+    class Counted(list[Node]):
+        looks = 0
+
+        def __getitem__(self, number: Any) -> Any:
+            Counted.looks += 1
+            return super().__getitem__(number)
+
+        def __iter__(self) -> Iterator[Node]:
+            Counted.looks += len(self)
+            return super().__iter__()
+
+    nodes = Counted(
+        Node(0, 0, False, 0.0, 0.0, 60.0, 8.0, 1.0, tasks=[RunningTask(50.0, 8.0, 0.0, 4.0)])
+        for _ in range(FLEET)
+    )
+    nodes[7].cpus = 2.0
+    Counted.looks = 0
+    jobs = [
+        Job(20, 2.0, 0.0, 1.0, image=0, image_gb=0.0, team=0, estimate=10.0) for _ in range(300)
+    ]
+    plan = place(Snapshot(0.0, jobs, nodes, [Team(inf, inf)], 1, 2, 16))
+    assert [(d.job, d.node, d.count) for d in plan.decisions] == [(0, 7, 1)]
+    assert len(plan.unplaced) == 300
+    assert Counted.looks <= 4 * FLEET
+
+
+def test_a_report_is_answered_without_a_look_at_other_machines() -> None:
+    class Counted(dict[str, Machine]):
+        walks = 0
+
+        def __iter__(self) -> Iterator[str]:
+            Counted.walks += 1
+            return super().__iter__()
+
+        def values(self) -> Any:
+            Counted.walks += 1
+            return super().values()
+
+    world = RegistryHarness()
+    for number in range(FLEET):
+        world.registry.machine(f"m-{number:06d}")
+    world.registry.machines = Counted(world.registry.machines)
+    Counted.walks = 0
+    assert world.report(spindle="m-003999") == []
+    world.assign()
+    commands = world.report(spindle="m-000000")
+    assert commands is not None
+    assert Counted.walks == 0
