--- a/spoolcourse/control/controller.py
+++ b/spoolcourse/control/controller.py
@@ -20,6 +20,7 @@
 from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacityError
 from spoolcourse.control.net import Net, NetError, Reply, Request, later, refusal_reply
+from spoolcourse.control.standby.takeover import TakeoverFromRecords
 from spoolcourse.control.store.client import RefusedError, StoreClient, UnclearError
 from spoolcourse.control.store.keys import CATALOG, PREFIX
 from spoolcourse.control.store.records import catalog_value
@@ -128,7 +129,9 @@
 
     def _elected(self, term: Term) -> None:
         self.watch_cache.watch_gap_s = WATCH_GAP_LEADING_S
-        self.leader_term = LeaderTerm(term, self.leadership, self._context)
+        self.leader_term = LeaderTerm(
+            term, self.leadership, self._context, TakeoverFromRecords(self._context)
+        )
         self.leader_term.start()
 
     def _deposed(self) -> None:
@@ -144,7 +147,7 @@
             except MalformedError as exc:
                 log.error("stored catalog: %s", exc)
         if self.leader_term is not None:
-            self.leader_term.on_change(key, value, revision)
+            self.leader_term.on_change(key)
 
     # -- catalog ------------------------------------------------------------------------
 
--- a/spoolcourse/control/fleet/command_dispatcher.py
+++ b/spoolcourse/control/fleet/command_dispatcher.py
@@ -12,10 +12,10 @@
 
 from spoolcourse.control.fleet.call_limit import calls_at_once
 from spoolcourse.control.fleet.machine import Machine
-from spoolcourse.control.fleet.worker_calls import send_commands
+from spoolcourse.control.fleet.worker_calls import WorkerSession, send_commands
 from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.net import Net, NetError
-from spoolcourse.wire.commands import CommandRequest, Start
+from spoolcourse.wire.commands import Start
 from spoolcourse.wire.messages import MalformedError
 
 log = logging.getLogger(__name__)
@@ -67,14 +67,13 @@
     async def _send(self, machine: Machine) -> None:
         try:
             attempts = self._registry.commands.take_fresh_starts(machine)
-            session = machine.session
+            session = WorkerSession(machine.address, machine.session)
             commands = self._registry.commands.take_stops(machine) + [
                 Start(a.name, a.number) for a in attempts
             ]
-            request = CommandRequest(self._registry.fencing_token, session, commands)
             try:
                 report = await send_commands(
-                    self._net, machine.address, request, keep=self.may_keep()
+                    self._net, self._registry.proof, session, commands, self.may_keep()
                 )
             except (NetError, MalformedError) as exc:
                 # Until it can be reached, the report responses have to do.
--- a/spoolcourse/control/fleet/worker_calls.py
+++ b/spoolcourse/control/fleet/worker_calls.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from spoolcourse.control.net import Net, NetError
+from spoolcourse.control.standby.proof import TakeoverProof
 from spoolcourse.wire import paths
-from spoolcourse.wire.commands import CommandRequest, to_json_object
+from spoolcourse.wire.commands import Command, CommandRequest, to_json_object
 from spoolcourse.wire.messages import Report, parse
 
 TIMEOUT_S = 1.0
@@ -18,16 +21,31 @@
     return parse(reply.data, Report)
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerSession:
+    """A worker in one of its sessions, at its address."""
+
+    address: str
+    number: int
+
+
 async def send_commands(
-    net: Net, address: str, request: CommandRequest, keep: bool = False
+    net: Net,
+    proof: TakeoverProof,
+    session: WorkerSession,
+    commands: list[Command],
+    keep: bool = False,
 ) -> Report:
     """The worker's report after the commands, executed or refused.
 
     Raises `NetError` or `MalformedError`; the commands may then be executed late. `keep`: the
     connection may stay open.
     """
+    request = CommandRequest(proof.fencing_token, session.number, commands)
     body = to_json_object(request)
-    reply = await net.call(address, "POST", paths.COMMANDS, body, timeout=TIMEOUT_S, keep=keep)
+    reply = await net.call(
+        session.address, "POST", paths.COMMANDS, body, timeout=TIMEOUT_S, keep=keep
+    )
     report = parse(reply.data, Report)
     if reply.status not in (EXECUTED, REFUSED):
         raise NetError(f"{paths.COMMANDS}: status {reply.status}")
--- a/spoolcourse/control/fleet/worker_registry.py
+++ b/spoolcourse/control/fleet/worker_registry.py
@@ -9,6 +9,7 @@
 import logging
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from spoolcourse.control.fleet.command_builder import CommandBuilder
@@ -16,6 +17,7 @@
 from spoolcourse.control.fleet.report_reconciler import ReportReconciler
 from spoolcourse.control.jobs.job_queue import Attempt, JobQueue
 from spoolcourse.control.leadership.renewal_deadline import DRIFT
+from spoolcourse.control.standby.proof import TakeoverProof
 from spoolcourse.wire.commands import Command
 from spoolcourse.wire.messages import Report
 from spoolcourse.wire.settings import Workers
@@ -30,6 +32,25 @@
 RENEWED_SHARE = 0.8  # of a lease: an answer that recent should have renewed it
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A report that is news: the commands to answer it with."""
+
+    commands: list[Command]
+
+
+@dataclass(frozen=True, slots=True)
+class Outdated:
+    """A report that is no newer than what is known, or whose machine is gone.
+
+    It is a copy that was late on the way: no sign of life, and it must get no answer that could
+    renew a lease, or the proof by lease would have to wait for every copy.
+    """
+
+
+ReportOutcome = Answer | Outdated
+
+
 class Leader(Protocol):
     """What the registry asks of the leader, and tells it."""
 
@@ -56,13 +77,14 @@
     def __init__(
         self,
         job_queue: JobQueue,
-        fencing_token: int,
+        proof: TakeoverProof,
         workers: Workers,
         clock: Callable[[], float],
         leader: Leader,
     ) -> None:
         self.job_queue = job_queue
-        self.fencing_token = fencing_token
+        self.proof = proof
+        self.fencing_token = proof.fencing_token
         self._lease_s = workers.lease_s
         # After it a lease is over for certain.
         self._lease_over_s = workers.lease_s * (1 + DRIFT) + LEASE_MARGIN_S
@@ -177,23 +199,18 @@
 
     # -- reports ------------------------------------------------------------------
 
-    def accept(self, report: Report) -> list[Command] | None:
-        """Take in a report that carries no higher fencing token than ours; the commands to answer.
-
-        None for one that is no newer than what is known, or whose machine is gone: a copy
-        that was late on the way. It is no sign of life and must get no answer that could
-        renew a lease, or the proof by lease would have to wait for every copy.
-        """
+    def accept(self, report: Report) -> ReportOutcome:
+        """Take in a report that carries no higher fencing token than ours."""
         now = self._clock()
         if report.machine in self.deleted_names:
-            return None
+            return Outdated()
         machine = self.machine(report.machine)
         if (report.session, report.sequence) <= (machine.session, machine.sequence):
-            return None
+            return Outdated()
         self.learn(machine, report)
         machine.reported_at = machine.answered_at = machine.leased_at = now
         under_our_token = report.fencing_token == self.fencing_token
-        return self.commands.answer(machine, report, under_our_token)
+        return Answer(self.commands.answer(machine, report, under_our_token))
 
     def overhear(self, report: Report) -> None:
         """Take in a report that is not answered, and so renews nothing."""
--- a/spoolcourse/control/jobs/job_queue.py
+++ b/spoolcourse/control/jobs/job_queue.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
@@ -13,6 +14,8 @@
 from spoolcourse.control.store.records import JobRecord, Progress
 from spoolcourse.wire.messages import TaskStage, task_name
 
+UNBOUNDED = sys.maxsize  # tasks that a chunk may hold, where its size alone bounds them
+
 
 class AttemptStage(Enum):
     """What is known of an attempt."""
@@ -101,8 +104,8 @@
     final: bool = False  # the final state is durable
     waiting_since: float = 0.0
     # Chunks made for a larger limit of the state service than the one to come never hold more
-    # than fits into that; what they hold beyond it ends by and by. None: made for it.
-    held_most: int | None = None
+    # than fits into that; what they hold beyond it ends by and by.
+    held_most: int = UNBOUNDED
     cancelled_known_at: float = 0.0  # when this leader heard of it; only if it is cancelled
 
     @property
@@ -130,7 +133,7 @@
     @property
     def assignable(self) -> int:
         """Pending tasks that may be assigned now: see `held_most`."""
-        if self.held_most is None:
+        if self.held_most >= self.record.chunk:
             return self.pending
         size, tasks, total = self.record.chunk, self.record.submission.task_count, 0
         for index in range(self.record.chunks):
@@ -168,7 +171,7 @@
 
     def candidates(self) -> Iterator[int]:
         """Pending tasks: those that lost an attempt first, then in order."""
-        if self.held_most is None:
+        if self.held_most >= self.record.chunk:
             yield from self._candidates()
             return
         held = {i: len(c.progress.held) for i, c in self.chunks.items()}
@@ -195,7 +198,7 @@
 class JobQueue:
     """All live jobs of the term, with the chunks that wait to be saved."""
 
-    def __init__(self, chunk_tasks: int | None = None) -> None:
+    def __init__(self, chunk_tasks: int = UNBOUNDED) -> None:
         self._chunk_tasks = chunk_tasks
         self.jobs: dict[str, JobState] = {}
         self.dirty: dict[tuple[str, int], Chunk] = {}
@@ -299,7 +302,7 @@
         job_state = self.jobs[record.submission.id] = JobState(
             record, waiting_since=now, cancelled_known_at=now
         )
-        if self._chunk_tasks is not None and record.chunk > self._chunk_tasks:
+        if record.chunk > self._chunk_tasks:
             job_state.held_most = self._chunk_tasks
         return job_state
 
--- a/spoolcourse/control/jobs/writer.py
+++ b/spoolcourse/control/jobs/writer.py
@@ -15,7 +15,7 @@
 import orjson
 
 from spoolcourse.control.jobs.job_queue import Chunk, JobQueue, JobState
-from spoolcourse.control.leadership.election import Term
+from spoolcourse.control.standby.proof import TakeoverProof
 from spoolcourse.control.store.client import RefusedError, StoreClient, UnclearError
 from spoolcourse.control.store.keys import TERM, final_key, job_key, progress_key
 from spoolcourse.control.store.records import FinalState
@@ -39,14 +39,14 @@
         client: StoreClient,
         watch_cache: WatchCache,
         job_queue: JobQueue,
-        term: Term,
+        proof: TakeoverProof,
         depose: Callable[[str], None],
         on_saved: Callable[[], None],
     ) -> None:
         self._client = client
         self._watch_cache = watch_cache
         self._job_queue = job_queue
-        self._term = term
+        self._term = proof.term
         self._depose = depose
         self._on_saved = on_saved
         self._wake = asyncio.Event()
--- /dev/null
+++ b/spoolcourse/control/leader/active_leader.py
@@ -0,0 +1,169 @@
+"""The parts of a leader that decide and command, from the proof of the take-over on."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from spoolcourse.control.context import ControllerContext
+from spoolcourse.control.fleet.command_dispatcher import CommandDispatcher
+from spoolcourse.control.fleet.worker_registry import WorkerRegistry
+from spoolcourse.control.jobs.job_queue import JobState
+from spoolcourse.control.jobs.writer import Writer
+from spoolcourse.control.leader.base_machines import BaseMachines
+from spoolcourse.control.leader.leader_context import LeaderContext
+from spoolcourse.control.leader.report_admission import ReportAdmission
+from spoolcourse.control.leader.scheduling_loop import SchedulingLoop
+from spoolcourse.control.leader.termination import TerminationLoop
+from spoolcourse.control.leadership.election import Leadership
+from spoolcourse.control.leadership.renewal_deadline import RenewalDeadline
+from spoolcourse.control.machines.autoscaler import FleetAutoscaler
+from spoolcourse.control.placement.snapshot_builder import SnapshotBuilder
+from spoolcourse.control.standby.takeover import TakenOver
+from spoolcourse.control.store.client import RefusedError, UnclearError
+from spoolcourse.control.store.keys import JOB
+from spoolcourse.control.store.records import JobRecord
+from spoolcourse.wire.messages import Host
+
+log = logging.getLogger(__name__)
+
+Loop = Coroutine[Any, Any, None]
+
+
+class ActiveLeader:
+    """The job queue, the registry and the loops that work on them."""
+
+    def __init__(
+        self,
+        taken_over: TakenOver,
+        leadership: Leadership,
+        context: ControllerContext,
+        renewal_deadline: RenewalDeadline,
+    ) -> None:
+        self._leadership = leadership
+        self._context = context
+        self._clock = context.clock
+        self._leftover_keys = taken_over.restored.leftover_keys
+        self.proof = taken_over.proof
+        self.job_queue = taken_over.restored.job_queue
+        params = context.params
+        policy = context.policy_source.initial()
+        self.registry = WorkerRegistry(
+            self.job_queue, self.proof, params.workers, self._clock, self
+        )
+        leader = LeaderContext(context, self.proof, policy, self.job_queue, self.registry)
+        self.command_dispatcher = CommandDispatcher(
+            context.net, self.registry, params.machine_limits.sockets
+        )
+        self.base_machines = BaseMachines(context, self.proof.term)
+        self.snapshot_builder = SnapshotBuilder(self.job_queue, self.registry, params, policy)
+        self.autoscaler = FleetAutoscaler(leader, self)
+        self.scheduling = SchedulingLoop(
+            leader, self.command_dispatcher, self.autoscaler, self.snapshot_builder
+        )
+        self.termination = TerminationLoop(leader, self.snapshot_builder, self.autoscaler.places)
+        self.admission = ReportAdmission(context, leadership, self.registry, renewal_deadline)
+        self.writer = Writer(
+            context.client,
+            context.watch_cache,
+            self.job_queue,
+            self.proof,
+            leadership.depose,
+            self._on_saved,
+        )
+        for job_state in self.job_queue.jobs.values():
+            for attempt in job_state.attempts.values():
+                self.registry.link(attempt)
+
+    def start(self, spawn: Callable[[Loop], None]) -> None:
+        """Begin all loops."""
+        for loop in (
+            self.writer.run(),
+            self.command_dispatcher.run(),
+            self.autoscaler.machine_list.run(),
+            self.autoscaler.renting.run(),
+            self.autoscaler.return_loop(),
+            self.autoscaler.replica_probe.run(),
+            self.scheduling.run(),
+            self.termination.run(),
+        ):
+            spawn(loop)
+        if self._leftover_keys:
+            spawn(self._sweep())
+
+    async def _sweep(self) -> None:
+        try:
+            await self.writer.sweep(self._leftover_keys)
+        except (RefusedError, UnclearError) as exc:
+            log.info("progress of finished jobs is left for the next term: %s", exc)
+
+    def _on_saved(self) -> None:
+        self.scheduling.wake.set()
+        self.command_dispatcher.wake.set()
+
+    # -- what the parts ask ---------------------------------------------------------------
+
+    def may_start(self) -> bool:
+        """Whether nobody else can lead by now."""
+        return self._leadership.valid()
+
+    def is_over(self, job: str) -> bool:
+        """Whether the job can't be live any more: every start was preceded by its record."""
+        return job not in self._context.job_index.live and job not in self.job_queue.jobs
+
+    def disk_gb(self, machine_type: str) -> float:
+        """How much a machine of the type caches."""
+        known = self._context.machine_types().get(machine_type)
+        return known.disk_gb if known else 0.0
+
+    def on_room(self) -> None:
+        """Something may be placed now that could not be before."""
+        self.scheduling.wake.set()
+
+    def base(self) -> frozenset[str]:
+        """The machines that are not returned for being idle."""
+        return self.base_machines.names()
+
+    def is_rare(self, machine_type: str) -> bool:
+        """Whether some job of late can use this type only, or few beside it."""
+        return self.snapshot_builder.is_rare(machine_type, self._clock())
+
+    async def on_list(self, hosts: list[Host]) -> None:
+        """The cloud has listed its machines."""
+        await self.base_machines.note(hosts)
+
+    def on_summary(self) -> None:
+        """Time for a summary in the log."""
+        self.scheduling.log_waiting()
+
+    # -- what comes from outside ----------------------------------------------------------
+
+    def on_change(self, key: str) -> None:
+        """A key has changed in the state service: perhaps a job was accepted or cancelled."""
+        if not key.startswith(JOB):
+            return
+        job = key[len(JOB) :]
+        record = self._context.job_index.live.get(job)
+        if record is None:
+            return
+        job_state = self.job_queue.jobs.get(job)
+        if job_state is None:
+            self.job_queue.add(record, self._clock())
+        else:
+            self._update(job_state, record)
+        self.scheduling.wake.set()
+
+    def _update(self, job_state: JobState, record: JobRecord) -> None:
+        was_aborted = job_state.record.aborted
+        job_state.record = record
+        if not record.aborted or was_aborted:
+            return
+        job_state.cancelled_known_at = self._clock()
+        for attempt in list(job_state.attempts.values()):
+            if attempt.never_sent:
+                self.registry.drop(attempt)  # never sent, and won't be
+            else:
+                self.registry.stop(attempt)
+        self.command_dispatcher.wake.set()
+        self.job_queue.check(job_state)
--- a/spoolcourse/control/leader/base_machines.py
+++ b/spoolcourse/control/leader/base_machines.py
@@ -10,8 +10,8 @@
 
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.leadership.election import Term
-from spoolcourse.control.store.conditional_write import write_if
-from spoolcourse.control.store.keys import BASE, TERM, base_part_key
+from spoolcourse.control.leadership.term_record import write_in_term
+from spoolcourse.control.store.keys import BASE, base_part_key
 from spoolcourse.control.store.records import base_machines, base_parts, base_values
 from spoolcourse.wire.messages import Host, HostStage
 
@@ -22,8 +22,8 @@
     """Reads the note, and writes it where there is none."""
 
     def __init__(self, context: ControllerContext, term: Term) -> None:
+        self._context = context
         self._watch_cache = context.watch_cache
-        self._client = context.client
         self._value_bytes = context.params.state.least.value_kb * 1024
         self._term = term
 
@@ -56,8 +56,7 @@
 
     async def _put(self, key: str, value: dict[str, Any], conditions: dict[str, int]) -> bool:
         """Write one value if this term goes on; whether it is written."""
-        conditions = conditions | {TERM: self._term.revision}
-        return await write_if(self._client, self._watch_cache, key, value, conditions)
+        return await write_in_term(self._context, self._term, key, value, conditions)
 
     def _found(self, hosts: list[Host]) -> list[str]:
         if self._term.number != FIRST_TERM:
--- a/spoolcourse/control/leader/report_admission.py
+++ b/spoolcourse/control/leader/report_admission.py
@@ -6,16 +6,22 @@
 
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.relay import redirect
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
+from spoolcourse.control.fleet.worker_registry import Answer, WorkerRegistry
 from spoolcourse.control.leadership.election import Leadership
 from spoolcourse.control.leadership.renewal_deadline import RenewalDeadline
 from spoolcourse.control.net import Reply, later
-from spoolcourse.wire.commands import ReportReply, to_json_object
+from spoolcourse.wire.commands import Command, ReportReply, to_json_object
 from spoolcourse.wire.messages import Report
 
 log = logging.getLogger(__name__)
 
 
+def step_down_for(report: Report, leadership: Leadership) -> Reply:
+    """End the term: a worker has heard of a later one."""
+    leadership.depose(f"{report.machine} has seen term {report.fencing_token}")
+    return redirect(None)
+
+
 class ReportAdmission:
     """Answers reports as long as no confirmed cancellation can be unknown for too long."""
 
@@ -43,24 +49,23 @@
     def answer(self, report: Report, relayed: bool) -> Reply:
         """The answer to a report; `relayed`: a follower has passed it on."""
         if report.fencing_token > self._registry.fencing_token:
-            self._leadership.depose(f"{report.machine} has seen term {report.fencing_token}")
-            return redirect(None)
+            return step_down_for(report, self._leadership)
         if not self._may_renew():
             # What others have confirmed as cancelled must be gone in time, though this node
             # can't hear of it: from here on the leases run out.
             self._registry.overhear(report)
             return later("may not know of cancellations")
         with self._load.spent("report"):
-            commands = self._registry.accept(report)
-        if not relayed and commands is not None:
-            self._heard_directly_at = self._clock()
-        reply = ReportReply(
-            commands or [],
-            # Without a fencing token nobody's lease is renewed.
-            None if commands is None else self._registry.fencing_token,
-            self.hears_no_worker() if relayed else None,
-        )
-        return Reply(200, to_json_object(reply))
+            outcome = self._registry.accept(report)
+        commands: list[Command] = []
+        fencing_token = None  # without one nobody's lease is renewed
+        if isinstance(outcome, Answer):
+            commands = outcome.commands
+            fencing_token = self._registry.fencing_token
+            if not relayed:
+                self._heard_directly_at = self._clock()
+        hears_no_worker = self.hears_no_worker() if relayed else None
+        return Reply(200, to_json_object(ReportReply(commands, fencing_token, hears_no_worker)))
 
     def _may_renew(self) -> bool:
         self._renewal_deadline.synced(self._watch_cache.synced_at)
--- a/spoolcourse/control/leader/scheduling_loop.py
+++ b/spoolcourse/control/leader/scheduling_loop.py
@@ -8,10 +8,9 @@
 from dataclasses import dataclass
 from itertools import islice
 
-from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.command_dispatcher import CommandDispatcher
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
-from spoolcourse.control.jobs.job_queue import JobQueue, JobState
+from spoolcourse.control.jobs.job_queue import JobState
+from spoolcourse.control.leader.leader_context import LeaderContext
 from spoolcourse.control.machines.autoscaler import FleetAutoscaler
 from spoolcourse.control.machines.cloud import hires_most
 from spoolcourse.control.machines.planner import Hire, Offer, plan_hires, top_up
@@ -19,7 +18,6 @@
 from spoolcourse.control.placement.model import Decision, Plan, Snapshot
 from spoolcourse.control.placement.preempt import choose_victims
 from spoolcourse.control.placement.snapshot_builder import SnapshotBuilder
-from spoolcourse.policy.keys import Policy
 from spoolcourse.wire.cloud import MachineKind
 from spoolcourse.wire.messages import MachineType
 
@@ -50,22 +48,20 @@
 
     def __init__(
         self,
-        context: ControllerContext,
-        policy: Policy,
-        job_queue: JobQueue,
-        registry: WorkerRegistry,
+        leader: LeaderContext,
         command_dispatcher: CommandDispatcher,
         autoscaler: FleetAutoscaler,
         snapshot_builder: SnapshotBuilder,
     ) -> None:
+        context = leader.controller
         self._clock = context.clock
         self._load = context.load
         self._params = context.params
         self._policy_source = context.policy_source
         self._machine_types = context.machine_types
-        self._policy = policy
-        self._job_queue = job_queue
-        self._registry = registry
+        self._policy = leader.policy
+        self._job_queue = leader.job_queue
+        self._registry = leader.registry
         self._command_dispatcher = command_dispatcher
         self._autoscaler = autoscaler
         self._snapshot_builder = snapshot_builder
--- a/spoolcourse/control/leader/termination.py
+++ b/spoolcourse/control/leader/termination.py
@@ -4,10 +4,9 @@
 
 import asyncio
 
-from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.machine import Machine
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
 from spoolcourse.control.jobs.job_queue import Attempt, AttemptStage
+from spoolcourse.control.leader.leader_context import LeaderContext
 from spoolcourse.control.machines.replica_places import ReplicaPlaces
 from spoolcourse.control.placement.snapshot_builder import SnapshotBuilder
 
@@ -22,16 +21,15 @@
 
     def __init__(
         self,
-        context: ControllerContext,
-        registry: WorkerRegistry,
+        leader: LeaderContext,
         snapshot_builder: SnapshotBuilder,
         places: ReplicaPlaces,
     ) -> None:
-        self._clock = context.clock
-        self._registry = registry
+        self._clock = leader.controller.clock
+        self._registry = leader.registry
         self._snapshot_builder = snapshot_builder
         self._places = places
-        self._last_call_s = REPORTS_NEEDED * context.params.workers.report_s + MARGIN_S
+        self._last_call_s = REPORTS_NEEDED * leader.controller.params.workers.report_s + MARGIN_S
 
     async def run(self) -> None:
         """Run until cancelled."""
--- a/spoolcourse/control/leadership/feature_level.py
+++ b/spoolcourse/control/leadership/feature_level.py
@@ -13,8 +13,8 @@
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.leadership.election import Term
 from spoolcourse.control.leadership.peers import ask_peers
-from spoolcourse.control.store.conditional_write import write_if
-from spoolcourse.control.store.keys import LEVEL, TERM
+from spoolcourse.control.leadership.term_record import write_in_term
+from spoolcourse.control.store.keys import LEVEL
 from spoolcourse.control.store.records import level_of, level_value
 from spoolcourse.control.store.watch_cache import WatchCache
 from spoolcourse.wire import paths
@@ -41,8 +41,8 @@
     """The leader's loop; it ends once it is noted."""
 
     def __init__(self, context: ControllerContext, term: Term) -> None:
+        self._context = context
         self._net = context.net
-        self._client = context.client
         self._watch_cache = context.watch_cache
         self._peers = context.peers
         self._term = term
@@ -57,8 +57,8 @@
 
     async def _note(self) -> None:
         value = level_value(SERVICES)
-        conditions = {LEVEL: self._watch_cache.revision(LEVEL), TERM: self._term.revision}
-        if await write_if(self._client, self._watch_cache, LEVEL, value, conditions):
+        conditions = {LEVEL: self._watch_cache.revision(LEVEL)}
+        if await write_in_term(self._context, self._term, LEVEL, value, conditions):
             log.info("all controllers are new: services are taken")
         else:
             await self._watch_cache.sync()
--- a/spoolcourse/control/machines/autoscaler.py
+++ b/spoolcourse/control/machines/autoscaler.py
@@ -10,8 +10,7 @@
 import logging
 from typing import Protocol
 
-from spoolcourse.control.context import ControllerContext
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
+from spoolcourse.control.leader.leader_context import LeaderContext
 from spoolcourse.control.load import SUMMARY_S
 from spoolcourse.control.machines.cloud import CloudError, NoCapacityError, deletions_most
 from spoolcourse.control.machines.early_deletion import EarlyDeletion
@@ -21,10 +20,9 @@
 from spoolcourse.control.machines.renting import Renting
 from spoolcourse.control.machines.replica_places import ReplicaPlaces
 from spoolcourse.control.machines.replica_probe import ReplicaProbe
-from spoolcourse.control.machines.returning import Returning
+from spoolcourse.control.machines.returning import Returning, ReturningOwner
 from spoolcourse.control.machines.service_reserve import ServiceReserve
 from spoolcourse.control.machines.surplus import Surplus
-from spoolcourse.policy.keys import Policy
 from spoolcourse.wire.cloud import DELETE_MAX
 from spoolcourse.wire.messages import Host
 
@@ -33,21 +31,13 @@
 RETURN_PERIOD_S = 1.0
 
 
-class AutoscalerOwner(Protocol):
+class AutoscalerOwner(ReturningOwner, Protocol):
     """What the autoscaler asks of the leader, and tells it."""
 
     def may_start(self) -> bool:
         """Whether nobody else can lead by now."""
         ...
 
-    def base(self) -> frozenset[str]:
-        """Machines that are not returned for being idle."""
-        ...
-
-    def is_rare(self, machine_type: str) -> bool:
-        """Whether jobs depend on the type, so that it is kept, within reason."""
-        ...
-
     async def on_list(self, hosts: list[Host]) -> None:
         """The cloud has listed its machines."""
         ...
@@ -62,29 +52,27 @@
 
     def __init__(
         self,
-        context: ControllerContext,
-        policy: Policy,
-        registry: WorkerRegistry,
+        leader: LeaderContext,
         owner: AutoscalerOwner,
     ) -> None:
-        self._cloud = context.cloud
+        context, policy, registry = leader.controller, leader.policy, leader.registry
+        self._cloud = context.cloud.writer(leader.proof)
         self._deletions_most = deletions_most(context.params.cloud.rps)
         self._clock = context.clock
         self._registry = registry
         self._owner = owner
         self._view = FleetView(context.machine_types)
         self.surplus = Surplus(policy, registry, self._view, owner.is_rare)
-        self.renting = Renting(context, policy, registry, self._view, owner.may_start)
-        self.machine_list = MachineListLoop(context, registry, self._view, owner.on_list)
+        self.renting = Renting(leader, self._cloud, self._view, owner.may_start)
+        self.machine_list = MachineListLoop(leader, self._view, owner.on_list)
         self.places = ReplicaPlaces(
             registry, context.params.workers, context.clock, context.machine_types
         )
         self.replica_probe = ReplicaProbe(context.net, registry, self.places, context.clock)
         self.reserve = ServiceReserve(registry, policy, self._view)
         self._returning = Returning(
-            context,
-            policy,
-            registry,
+            leader,
+            owner,
             self._view,
             self.surplus,
             self.reserve,
@@ -95,8 +83,6 @@
                 context.clock,
                 context.params.workers.lease_s,
             ),
-            owner.base,
-            owner.is_rare,
         )
 
     async def return_loop(self) -> None:
--- a/spoolcourse/control/machines/cloud.py
+++ b/spoolcourse/control/machines/cloud.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Awaitable
+from typing import Protocol
 
 from spoolcourse.control.net import Net, NetError, Reply
+from spoolcourse.control.standby.proof import TakeoverProof
 from spoolcourse.control.store.budget import BudgetSpentError, TokenBucket
 from spoolcourse.wire import paths
 from spoolcourse.wire.cloud import (
@@ -43,6 +46,14 @@
     """None available of this type, zone and kind."""
 
 
+class CloudCall(Protocol):
+    """One call to the cloud; raises `CloudError` or `NoCapacityError`."""
+
+    def __call__(self, method: str, path: str, body: object = None) -> Awaitable[Reply]:
+        """Make the call."""
+        ...
+
+
 class Cloud:
     """The cloud's calls, each carried out, refused, or unclear."""
 
@@ -93,6 +104,24 @@
                 return found
             since = page.hosts[-1].id
 
+    def writer(self, proof: TakeoverProof) -> CloudWriter:
+        """The calls that rent and delete machines, for a leader that has proven its take-over."""
+        return CloudWriter(self._call, proof)
+
+
+class CloudWriter:
+    """Rents and deletes machines for one term."""
+
+    def __init__(self, call: CloudCall, proof: TakeoverProof) -> None:
+        self._call = call
+        self._fencing_token = proof.fencing_token
+        self._requests = 0
+
+    def request_name(self) -> str:
+        """A name for the next request to rent: no other leader uses it, nor does this one again."""
+        self._requests += 1
+        return f"t{self._fencing_token}-{self._requests}"
+
     async def hire(self, name: str, kind: MachineKind, count: int) -> list[str]:
         """Rents machines; their names. Raises `NoCapacityError` if there are none of this kind."""
         reply = await self._call("POST", paths.HOSTS, hire_body(name, kind, count))
--- a/spoolcourse/control/machines/machine_list.py
+++ b/spoolcourse/control/machines/machine_list.py
@@ -6,15 +6,13 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.call_limit import calls_at_once
 from spoolcourse.control.fleet.machine import Machine
-from spoolcourse.control.fleet.worker_calls import fetch_report, send_commands
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
+from spoolcourse.control.fleet.worker_calls import WorkerSession, fetch_report, send_commands
+from spoolcourse.control.leader.leader_context import LeaderContext
 from spoolcourse.control.machines.cloud import CloudError
 from spoolcourse.control.machines.fleet_view import FleetView
 from spoolcourse.control.net import NetError
-from spoolcourse.wire.commands import CommandRequest
 from spoolcourse.wire.messages import Host, HostStage, MalformedError
 
 log = logging.getLogger(__name__)
@@ -30,17 +28,17 @@
 
     def __init__(
         self,
-        context: ControllerContext,
-        registry: WorkerRegistry,
+        leader: LeaderContext,
         view: FleetView,
         on_list: Callable[[list[Host]], Awaitable[None]],
     ) -> None:
+        context = leader.controller
         self._net = context.net
         self._cloud = context.cloud
         self._clock = context.clock
         self._sockets = context.params.machine_limits.sockets
         self._period_s = max(LIST_PERIOD_S, context.params.cloud.list_lag_s / 2)
-        self._registry = registry
+        self._registry = leader.registry
         self._view = view
         self._on_list = on_list
 
@@ -105,9 +103,9 @@
 
     async def _raise_token(self, machine: Machine) -> None:
         try:
-            session = (await fetch_report(self._net, machine.address)).session
-            request = CommandRequest(self._registry.fencing_token, session, [])
-            report = await send_commands(self._net, machine.address, request)
+            found = await fetch_report(self._net, machine.address)
+            session = WorkerSession(machine.address, found.session)
+            report = await send_commands(self._net, self._registry.proof, session, [])
         except (NetError, MalformedError) as exc:
             log.debug("%s: fencing token not raised: %s", machine.id, exc)
             return
--- a/spoolcourse/control/machines/renting.py
+++ b/spoolcourse/control/machines/renting.py
@@ -7,11 +7,9 @@
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
-from spoolcourse.control.context import ControllerContext
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
-from spoolcourse.control.machines.cloud import CloudError, NoCapacityError
+from spoolcourse.control.leader.leader_context import LeaderContext
+from spoolcourse.control.machines.cloud import CloudError, CloudWriter, NoCapacityError
 from spoolcourse.control.machines.fleet_view import FleetView
-from spoolcourse.policy.keys import Policy
 from spoolcourse.wire.cloud import HIRE_MAX, MachineKind
 
 log = logging.getLogger(__name__)
@@ -41,19 +39,17 @@
 
     def __init__(
         self,
-        context: ControllerContext,
-        policy: Policy,
-        registry: WorkerRegistry,
+        leader: LeaderContext,
+        cloud: CloudWriter,
         view: FleetView,
         may_rent: Callable[[], bool],
     ) -> None:
-        self._cloud = context.cloud
-        self._clock = context.clock
-        self._policy = policy
-        self._registry = registry
+        self._cloud = cloud
+        self._clock = leader.controller.clock
+        self._policy = leader.policy
+        self._registry = leader.registry
         self._view = view
         self._may_rent = may_rent
-        self._requests = 0
         self._refusals: dict[MachineKind, _Refusal] = {}
         self._wanted: list[tuple[MachineKind, int]] = []
         self._wake = asyncio.Event()
@@ -88,9 +84,7 @@
             self._asking = False
 
     async def _rent(self, kind: MachineKind, count: int) -> None:
-        # The name holds the term, so no other leader uses it, nor does this one again.
-        self._requests += 1
-        name = f"t{self._registry.fencing_token}-{self._requests}"
+        name = self._cloud.request_name()
         for _ in range(TRIES):
             asked_at = self._clock()
             try:
--- a/spoolcourse/control/machines/returning.py
+++ b/spoolcourse/control/machines/returning.py
@@ -3,17 +3,15 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from typing import Protocol
 
-from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.fleet.machine import Machine
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
+from spoolcourse.control.leader.leader_context import LeaderContext
 from spoolcourse.control.machines.cancelled_work import CancelledWork
 from spoolcourse.control.machines.early_deletion import EarlyDeletion
 from spoolcourse.control.machines.fleet_view import FleetView
 from spoolcourse.control.machines.service_reserve import ServiceReserve
 from spoolcourse.control.machines.surplus import Surplus
-from spoolcourse.policy.keys import Policy
 from spoolcourse.wire.messages import HostStage
 
 log = logging.getLogger(__name__)
@@ -22,34 +20,43 @@
 FAULTY_JOBS = 2  # jobs whose tasks failed on a machine: then it is the machine
 
 
+class ReturningOwner(Protocol):
+    """What is asked of the leader before a machine is returned."""
+
+    def base(self) -> frozenset[str]:
+        """Machines that are not returned for being idle."""
+        ...
+
+    def is_rare(self, machine_type: str) -> bool:
+        """Whether jobs depend on the type, so that it is kept, within reason."""
+        ...
+
+
 class Returning:
     """Judges each machine anew every time it is asked."""
 
     def __init__(
         self,
-        context: ControllerContext,
-        policy: Policy,
-        registry: WorkerRegistry,
+        leader: LeaderContext,
+        owner: ReturningOwner,
         view: FleetView,
         surplus: Surplus,
         reserve: ServiceReserve,
         early_deletion: EarlyDeletion,
-        base: Callable[[], frozenset[str]],
-        is_rare: Callable[[str], bool],
     ) -> None:
+        context = leader.controller
         self._clock = context.clock
         self._workers = context.params.workers
         self._list_lag_s = context.params.cloud.list_lag_s
-        self._policy = policy
-        self._registry = registry
+        self._policy = leader.policy
+        self._registry = leader.registry
+        self._owner = owner
         self._view = view
         self._surplus = surplus
         self._reserve = reserve
         self._early_deletion = early_deletion
-        self._base = base
-        self._is_rare = is_rare
         self._cancelled = CancelledWork(
-            registry.job_queue,
+            leader.job_queue,
             context.params.workers,
             context.params.skew_ms / 1000,
             context.clock,
@@ -70,7 +77,7 @@
         if blind:
             early = set()
         reserved = self._reserve.machines()
-        base = self._base()
+        base = self._owner.base()
         spare_cpus = -self._surplus.short_cpus(now)
         self._surplus.mark(now, base, reserved)
         pressing: list[str] = []
@@ -172,7 +179,7 @@
         return now - machine.idle_since > self._idle_limit_s(machine)
 
     def _idle_limit_s(self, machine: Machine) -> float:
-        if self._is_rare(machine.machine_type or ""):
+        if self._owner.is_rare(machine.machine_type or ""):
             return self._policy.rare_s
         if machine.surplus:
             return self._policy.surplus_idle_s
--- /dev/null
+++ b/spoolcourse/control/standby/__init__.py
@@ -0,0 +1,1 @@
+"""Warm standby: what a follower keeps ready for a take-over, and the proof that ends one."""
--- a/spoolcourse/control/view.py
+++ b/spoolcourse/control/view.py
@@ -4,80 +4,132 @@
 
 from typing import TYPE_CHECKING, Any
 
+import msgspec
+from msgspec import UNSET, UnsetType
+
 from spoolcourse.control.jobs.job_queue import AttemptStage
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from spoolcourse.control.controller import Controller
-    from spoolcourse.control.leader.leader_term import LeaderTerm
+    from spoolcourse.control.leader.active_leader import ActiveLeader
     from spoolcourse.control.leader.scheduling_loop import WaitingJob
 
 JOBS_SHOWN = 200
 
 
-def _waiting_row(job: WaitingJob) -> dict[str, Any]:
-    """The field names are those that operators' tools know."""
-    return {
-        "id": job.id,
-        "lane": job.job_class,
-        "crew": job.team,
-        "pieces": job.tasks,
-        "waitsS": job.waits_s,
-        "why": job.reason,
-    }
-
-
-def _leader(leader_term: LeaderTerm) -> dict[str, Any]:
-    machines = leader_term.registry.machines.values()
-    attempts = [a for w in leader_term.job_queue.jobs.values() for a in w.attempts.values()]
-    waiting = leader_term.scheduling.waiting()
+class WaitingRow(msgspec.Struct, frozen=True):
+    """A job with tasks that wait; the field names are those that operators' tools know."""
+
+    id: str
+    job_class: str = msgspec.field(name="lane")
+    team: str = msgspec.field(name="crew")
+    tasks: int = msgspec.field(name="pieces")
+    waits_s: float = msgspec.field(name="waitsS")
+    reason: str = msgspec.field(name="why")
+
+
+class LeaderStatus(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What only a leader knows."""
+
+    jobs: int
+    waiting: list[WaitingRow]
+    waiting_jobs: int
+    waiting_tasks: int = msgspec.field(name="waitingPieces")
+    services: int
+    replicas_missing: int
+    attempts: int
+    unproven_attempts: int
+    fetches_booked: int
+    machines: int
+    machines_confirmed: int
+    passes: int
+    pass_cost_s: float
+    unsaved_keys: int
+
+
+class NodeStatus(msgspec.Struct, frozen=True, kw_only=True, rename="camel"):
+    """What every controller knows of itself."""
+
+    node: str
+    role: str
+    leader: str | None
+    ready: bool
+    healthy: bool
+    live_jobs: int
+    terms: int
+    store_requests: int
+    store_failures: int
+    store_writes: int
+    loop_lag_s: float
+    processor_share: float
+    term: int | UnsetType = UNSET
+    lease: str | UnsetType = UNSET
+
+
+def _waiting_row(job: WaitingJob) -> WaitingRow:
+    return WaitingRow(job.id, job.job_class, job.team, job.tasks, job.waits_s, job.reason)
+
+
+def _leader_status(leader: ActiveLeader) -> LeaderStatus:
+    job_states = leader.job_queue.jobs.values()
+    machines = leader.registry.machines.values()
+    attempts = [attempt for job in job_states for attempt in job.attempts.values()]
+    waiting = leader.scheduling.waiting()
     services = [
-        w
-        for w in leader_term.job_queue.jobs.values()
-        if w.record.submission.is_service and not w.record.aborted
+        job for job in job_states if job.record.submission.is_service and not job.record.aborted
     ]
-    return {
-        "jobs": len(leader_term.job_queue.jobs),
-        "waiting": [_waiting_row(job) for job in waiting[:JOBS_SHOWN]],
-        "waitingJobs": len(waiting),
-        "waitingPieces": sum(job.tasks for job in waiting),
-        "services": len(services),
-        "replicasMissing": sum(w.pending for w in services),
-        "attempts": len(attempts),
-        "unprovenAttempts": sum(
+    return LeaderStatus(
+        jobs=len(job_states),
+        waiting=[_waiting_row(job) for job in waiting[:JOBS_SHOWN]],
+        waiting_jobs=len(waiting),
+        waiting_tasks=sum(job.tasks for job in waiting),
+        services=len(services),
+        replicas_missing=sum(job.pending for job in services),
+        attempts=len(attempts),
+        unproven_attempts=sum(
             1 for a in attempts if a.stage is AttemptStage.OPEN or a.in_flight_session is not None
         ),
-        "fetchesBooked": sum(len(m.fetching) for m in machines),
-        "machines": len(machines),
-        "machinesConfirmed": sum(1 for m in machines if m.confirmed),
-        "passes": leader_term.scheduling.passes,
-        "passCostS": leader_term.scheduling.pass_cost_s,
-        "unsavedKeys": len(leader_term.job_queue.dirty),
-    }
+        fetches_booked=sum(len(machine.fetching) for machine in machines),
+        machines=len(machines),
+        machines_confirmed=sum(1 for machine in machines if machine.confirmed),
+        passes=leader.scheduling.passes,
+        pass_cost_s=leader.scheduling.pass_cost_s,
+        unsaved_keys=len(leader.job_queue.dirty),
+    )
+
+
+def _node_status(node: Controller) -> NodeStatus:
+    leadership = node.leadership
+    term: int | UnsetType = UNSET
+    lease: str | UnsetType = UNSET
+    if node.leader_term is not None and leadership.term is not None:
+        term = leadership.term.number
+        lease = "valid" if leadership.valid() else "uncertain"
+    return NodeStatus(
+        node=node.label,
+        role="leader" if node.leader_term is not None else "follower",
+        leader=leadership.leader_label,
+        ready=node.ready,
+        healthy=node.healthy,
+        live_jobs=len(node.job_index.live),
+        terms=leadership.terms,
+        store_requests=node.client.sent,
+        store_failures=node.client.failed,
+        store_writes=node.client.written,
+        loop_lag_s=round(node.load.lag_s, 3),
+        processor_share=round(node.load.share, 3),
+        term=term,
+        lease=lease,
+    )
 
 
 def status(node: Controller) -> dict[str, Any]:
     """What this node knows; a leader also says what waits, and why."""
-    leader_term = node.leader_term
-    found: dict[str, Any] = {
-        "node": node.label,
-        "role": "leader" if leader_term is not None else "follower",
-        "leader": node.leadership.leader_label,
-        "ready": node.ready,
-        "healthy": node.healthy,
-        "liveJobs": len(node.job_index.live),
-        "terms": node.leadership.terms,
-        "storeRequests": node.client.sent,
-        "storeFailures": node.client.failed,
-        "storeWrites": node.client.written,
-        "loopLagS": round(node.load.lag_s, 3),
-        "processorShare": round(node.load.share, 3),
-    }
-    if leader_term is not None and node.leadership.term is not None:
-        found["term"] = node.leadership.term.number
-        found["lease"] = "valid" if node.leadership.valid() else "uncertain"
-        found |= _leader(leader_term)
+    found: dict[str, Any] = msgspec.to_builtins(_node_status(node))
+    if node.leader_term is not None and node.leader_term.active is not None:
+        found |= msgspec.to_builtins(_leader_status(node.leader_term.active))
     return found
 
 
@@ -127,16 +179,10 @@
             yield GaugeMetricFamily(
                 "spoolcourse_leader", "1 on the leader", float(values["role"] == "leader")
             )
-            for name, about in _COUNTERS.items():
-                if name in values:
-                    yield CounterMetricFamily(
-                        "spoolcourse" + _snake("_" + name), about, float(values[name])
-                    )
-            for name, about in _GAUGES.items():
-                if name in values:
-                    yield GaugeMetricFamily(
-                        "spoolcourse" + _snake("_" + name), about, float(values[name])
-                    )
+            for kind, described in ((CounterMetricFamily, _COUNTERS), (GaugeMetricFamily, _GAUGES)):
+                for name, about in described.items():
+                    if name in values:
+                        yield kind("spoolcourse" + _snake("_" + name), about, float(values[name]))
 
     registry = CollectorRegistry(auto_describe=False)
     registry.register(Once())
--- /dev/null
+++ b/tests/fakes/proof.py
@@ -0,0 +1,28 @@
+"""Proofs of take-overs for parts that are tested by themselves."""
+
+from __future__ import annotations
+
+from spoolcourse.control.leadership.election import Term
+from spoolcourse.control.standby.proof import ProofSource, TakeoverProof
+from spoolcourse.control.store.client import StoreClient
+from spoolcourse.control.store.keys import PREFIX, TERM
+from spoolcourse.control.store.watch_cache import WatchCache
+from spoolcourse.wire.settings import State
+from tests.fakes.net import FakeWire
+
+LIMITS = State(rps=100.0, write_rps=30.0, value_kb=8.0, txn_ops=24)
+
+
+def cache_at(store_revision: int) -> WatchCache:
+    """A watch cache that has taken in every change up to a revision."""
+    client = StoreClient(FakeWire().end_of("n0"), "state:1", LIMITS, nodes=1)
+    watch_cache = WatchCache(client, PREFIX)
+    watch_cache.store_revision = store_revision
+    return watch_cache
+
+
+def proven(number: int, revision: int = 1) -> TakeoverProof:
+    """The proof of a term that was claimed at a revision."""
+    watch_cache = cache_at(revision)
+    watch_cache.apply(TERM, {"term": number}, revision)
+    return TakeoverProof(Term(number, revision, 0), watch_cache, ProofSource.RECORDS)
--- a/tests/fakes/registry.py
+++ b/tests/fakes/registry.py
@@ -4,12 +4,13 @@
 
 from typing import Any
 
-from spoolcourse.control.fleet.worker_registry import WorkerRegistry
+from spoolcourse.control.fleet.worker_registry import Answer, WorkerRegistry
 from spoolcourse.control.jobs.job_queue import Attempt, JobQueue, JobState
 from spoolcourse.control.store.records import JobRecord
 from spoolcourse.wire.commands import to_json_object
 from spoolcourse.wire.messages import Report, Submission, parse
 from spoolcourse.wire.settings import Workers
+from tests.fakes.proof import proven
 from tests.fakes.world import job
 
 TERM = 7
@@ -24,7 +25,7 @@
         self.job_queue = JobQueue()
         self.registry = WorkerRegistry(
             self.job_queue,
-            TERM,
+            proven(TERM),
             Workers(report_s=1.5, lease_s=10.0, cancel_s=40.0),
             lambda: self.now,
             self,
@@ -48,8 +49,10 @@
         pass
 
     def report(self, *pieces: dict[str, Any], **fields: Any) -> list[dict[str, Any]] | None:
-        commands = self.registry.accept(self._made(pieces, fields))
-        return None if commands is None else [to_json_object(command) for command in commands]
+        outcome = self.registry.accept(self._made(pieces, fields))
+        if not isinstance(outcome, Answer):
+            return None
+        return [to_json_object(command) for command in outcome.commands]
 
     def observed(self, *pieces: dict[str, Any], **fields: Any) -> Report:
         """A report that comes as the answer to a call."""
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -8,6 +8,7 @@
 import orjson
 
 from spoolcourse.control.controller import Controller
+from spoolcourse.control.leader.active_leader import ActiveLeader
 from spoolcourse.control.net import NetError, Reply, Request
 from spoolcourse.policy.keys import check_policy
 from spoolcourse.wire.settings import Settings, parse_settings
@@ -181,6 +182,12 @@
         self.nodes.pop(label).stop()
         del self.wire.hosts[f"{label}:80"], self.wire.hosts[f"{label}:81"]
 
+    def active(self, label: str | None = None) -> ActiveLeader:
+        """What decides on a node that leads, by default on the first one that does."""
+        term = self.nodes[label or str(self.leader)].leader_term
+        assert term is not None and term.active is not None
+        return term.active
+
     @property
     def leader(self) -> str | None:
         return next((n for n, c in self.nodes.items() if c.leader_term is not None), None)
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -126,14 +126,15 @@
         old = world.nodes[gap.leader]
         assert (
             old.leader_term is not None
-            and worker.fencing_token == old.leader_term.registry.fencing_token
+            and old.leader_term.active is not None
+            and worker.fencing_token == old.leader_term.active.registry.fencing_token
         )
         gap.apart(gap.leader, *gap.others, "state", "cloud", "m-")
         world.wire.stalled.add((gap.leader, "state:1"))
         await gap.cancel()
         await gap.hold_on(35)
         # A worker's report that its successor's baton has not reached comes before anything else.
-        body = worker.report() | {"baton": old.leader_term.registry.fencing_token}
+        body = worker.report() | {"baton": old.leader_term.active.registry.fencing_token}
         reply = await world.ask(gap.leader, "POST", "/v1/report", body)
         assert (reply.status, "baton" in (reply.data or {})) == (503, False)
         assert int(reply.headers["Retry-After"]) >= 1
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -57,7 +57,7 @@
 
         def base() -> Any:
             term = world.nodes[str(world.leader)].leader_term if world.leader else None
-            return term.base() if term is not None else None
+            return term.active.base() if term is not None and term.active else None
 
         await world.until(lambda: base() == names, 30)
         world.kill(str(world.leader))
@@ -149,8 +149,7 @@
         world = World()
         await world.up()
         first = world.nodes[str(world.leader)].leader_term
-        assert first is not None
-        first.scheduling._attempts = ATTEMPTS_MOST - 2
+        world.active().scheduling._attempts = ATTEMPTS_MOST - 2
         await world.submit(job(pieces=6))
         await world.finish()
         assert all(node.leader_term is not first for node in world.nodes.values())
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -209,10 +209,7 @@
         world.wire.filters.clear()
         await world.finish(2)
         await asyncio.sleep(40)
-        leader_term = world.nodes[leader].leader_term
-        assert leader_term is not None and not leader_term.admission.hears_no_worker(), (
-            "they are back"
-        )
+        assert not world.active(leader).admission.hears_no_worker(), "they are back"
         assert world.now() > cut and world.cloud.broken == []
 
     play(story())
@@ -261,13 +258,12 @@
         world = World()
         await world.up()
         first = str(world.leader)
-        leader_term = world.nodes[first].leader_term
-        assert leader_term is not None
+        leader_term, active = world.nodes[first].leader_term, world.active(first)
 
         def broken(snapshot: Any, builds: Any) -> None:
             raise KeyError("unforeseen")
 
-        leader_term.snapshot_builder.take = broken  # type: ignore[method-assign,assignment]
+        active.snapshot_builder.take = broken  # type: ignore[method-assign,assignment]
         await world.submit(job())
         await world.finish()
         assert world.nodes[first].leader_term is not leader_term
@@ -280,16 +276,15 @@
     async def story() -> None:
         world = World()
         await world.up()
-        leader_term = world.nodes[str(world.leader)].leader_term
-        assert leader_term is not None
-        judge = leader_term.snapshot_builder._job
+        leader_term, active = world.nodes[str(world.leader)].leader_term, world.active()
+        judge = active.snapshot_builder._job
 
         def partly(work: Any, now: float, number_of: dict[str, int]) -> Any:
             if work.id == "job-000001":
                 raise TypeError("unforeseen")
             return judge(work, now, number_of)
 
-        leader_term.snapshot_builder._job = partly  # type: ignore[assignment,method-assign]
+        active.snapshot_builder._job = partly  # type: ignore[assignment,method-assign]
         await world.submit(job(1))
         await world.submit(job(2))
         await world.finish(2)
--- a/tests/test_service_reserve.py
+++ b/tests/test_service_reserve.py
@@ -70,8 +70,6 @@
         body: dict[str, Any] = service(loaners=True)
         assert (await world.submit(body)).status == 201
         await served(world)
-        leader_term = world.nodes[str(world.leader)].leader_term
-        assert leader_term is not None
-        assert leader_term.autoscaler.reserve.machines() == set()
+        assert world.active().autoscaler.reserve.machines() == set()
 
     play(story())
--- a/tests/test_snapshot_cache.py
+++ b/tests/test_snapshot_cache.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from spoolcourse.control.leader.leader_term import LeaderTerm
+from spoolcourse.control.leader.active_leader import ActiveLeader
 from spoolcourse.control.placement.backfill import place
 from spoolcourse.control.placement.preempt import choose_victims
 from spoolcourse.control.placement.snapshot_builder import SnapshotBuilder
@@ -51,11 +51,11 @@
         await world.up()
         compared = 0
 
-        def compare(leader_term: LeaderTerm) -> None:
+        def compare(active: ActiveLeader) -> None:
             nonlocal compared
-            now, builds = world.now(), leader_term._context.machine_types()
-            fresh = surveyor(leader_term.job_queue, leader_term.registry)
-            kept = seen(leader_term.snapshot_builder, now, builds)
+            now, builds = world.now(), active._context.machine_types()
+            fresh = surveyor(active.job_queue, active.registry)
+            kept = seen(active.snapshot_builder, now, builds)
             assert kept == seen(fresh, now, builds)
             compared += sum(len(row[3]) for row in kept.values())
 
@@ -72,9 +72,10 @@
                 if (
                     leader is not None
                     and leader.leader_term is not None
-                    and leader.leader_term.scheduling.passes
+                    and leader.leader_term.active is not None
+                    and leader.leader_term.active.scheduling.passes
                 ):
-                    compare(leader.leader_term)
+                    compare(leader.leader_term.active)
             if number == 4:
                 await world.cancel(3)
             if number == 6:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -51,9 +51,7 @@
         await world.until(lambda: len(world.cloud.starts) == 4)
         await asyncio.sleep(8)
         leader = str(world.leader)
-        leader_term = world.nodes[leader].leader_term
-        assert leader_term is not None
-        machine = leader_term.registry.machines[name]
+        machine = world.active(leader).registry.machines[name]
         # From a second to several leases late, while it lives: its attempts go on.
         for reply in await copies.repeat(leader, name):
             assert not renews(reply) and reply.data["orders"] == []
@@ -130,8 +128,7 @@
         assert (await world.submit(job(2), old)).status == 503
         assert (await world.poll(1, others[0])).status == 200
         # Its workers see the new baton, are let go, and lose no lease over it.
-        new = next(world.nodes[n].leader_term for n in others if world.nodes[n].leader_term)
-        assert new is not None
+        new = next(world.active(n) for n in others if world.nodes[n].leader_term)
         await world.until(lambda: all(new.registry.machines[n].confirmed for n in names), 10)
         assert world.nodes[old].leader_term is None
         # Whoever comes to the old one now is sent to nobody that may be out of office.
@@ -332,7 +329,6 @@
         names = [world.cloud.add() for _ in range(300)]
         await world.up()
         await asyncio.sleep(5)
-        leader_term = world.nodes[str(world.leader)].leader_term
-        assert leader_term is not None and leader_term.base() == frozenset(names)
+        assert world.active().base() == frozenset(names)
 
     play(story())
--- a/tests/test_unresponsive_machines.py
+++ b/tests/test_unresponsive_machines.py
@@ -61,11 +61,7 @@
         await world.submit(job(pieces=4))
         await asyncio.sleep(60)
         assert world.cloud.starts == []
-        leader_term = world.nodes[str(world.leader)].leader_term
-        assert (
-            leader_term is not None
-            and leader_term.registry.machines[name].unresponsive_since is not None
-        )
+        assert world.active().registry.machines[name].unresponsive_since is not None
         world.wire.filters.clear()
         await world.finish(1, 60)
         assert world.cloud.broken == [] and len(world.cloud.starts) == 4
@@ -163,26 +159,25 @@
             world.cloud.add()
         await asyncio.sleep(5)
         leader = str(world.leader)
-        leader_term = world.nodes[leader].leader_term
-        assert leader_term is not None
+        active = world.active(leader)
         seen: list[int] = []
 
         def cut(src: str, dst: str, *rest: Any) -> str | None:
             if src != leader or not dst.endswith(":9000"):
                 return None
-            seen.append(len(leader_term.command_dispatcher._busy))
+            seen.append(len(active.command_dispatcher._busy))
             return "cut"
 
         world.wire.filters.append(cut)
         await world.submit(job(1, pieces=80, cpus=1.0))
         await world.finish(1)
         assert len(seen) > 6 and max(seen) == 6
-        machines = len(leader_term.registry.machines)
+        machines = len(active.registry.machines)
         assert command_dispatcher.CommandDispatcher(
-            leader_term.command_dispatcher._net, leader_term.registry, 4 * machines
+            active.command_dispatcher._net, active.registry, 4 * machines
         ).may_keep()
         assert not command_dispatcher.CommandDispatcher(
-            leader_term.command_dispatcher._net, leader_term.registry, 2 * machines
+            active.command_dispatcher._net, active.registry, 2 * machines
         ).may_keep()
 
     play(story())
@@ -197,12 +192,12 @@
         await world.submit(job(pieces=12))
         await world.finish()
         leader = str(world.leader)
-        leader_term = world.nodes[leader].leader_term
-        assert leader_term is not None and world.cloud.hosts
+        active = world.active(leader)
+        assert world.cloud.hosts
         before = set(world.cloud.hosts)
         world.state.out = True
         await asyncio.sleep(300)  # idle for long, and above the peak of late
-        assert not leader_term.may_start()
+        assert not active.may_start()
         assert before and set(world.cloud.hosts) == before
         world.state.out = False
         await world.until(lambda: not world.cloud.hosts, 300)
@@ -220,11 +215,10 @@
         names = [world.cloud.add(), world.cloud.add()]
         await asyncio.sleep(5)
         leader = str(world.leader)
-        leader_term = world.nodes[leader].leader_term
-        assert leader_term is not None
+        active = world.active(leader)
         world.cut_off(names[0])
-        await asyncio.sleep(leader_term._context.params.workers.quiet_s + 0.5)
-        assert not leader_term.registry.machines[names[0]].lease_expired
+        await asyncio.sleep(active._context.params.workers.quiet_s + 0.5)
+        assert not active.registry.machines[names[0]].lease_expired
         calls: list[str] = []
 
         def watched(src: str, dst: str, *rest: Any) -> None:
--- a/tests/test_writer.py
+++ b/tests/test_writer.py
@@ -7,6 +7,7 @@
 from spoolcourse.control.jobs.job_queue import JobQueue, JobState
 from spoolcourse.control.jobs.writer import Writer
 from spoolcourse.control.leadership.election import Term
+from spoolcourse.control.standby.proof import ProofSource, TakeoverProof
 from spoolcourse.control.store.client import StoreClient
 from spoolcourse.control.store.keys import PREFIX, TERM, job_key
 from spoolcourse.control.store.records import JobRecord
@@ -38,7 +39,8 @@
             jobs.append(works.add(record, 0.0))
         await asyncio.sleep(10)
         await watch_cache.load()
-        writer = Writer(client, watch_cache, works, term, lambda why: None, lambda: None)
+        proof = TakeoverProof(term, watch_cache, ProofSource.RECORDS)
+        writer = Writer(client, watch_cache, works, proof, lambda why: None, lambda: None)
         running = asyncio.create_task(writer.run())
         for work in jobs[:20]:
             works.complete(work, 0)
@@ -79,8 +81,9 @@
         record.revision = state.store_revision
         work = works.add(record, 0.0)
         await watch_cache.load()
+        proof = TakeoverProof(term, watch_cache, ProofSource.RECORDS)
         running = asyncio.create_task(
-            Writer(client, watch_cache, works, term, lambda why: None, lambda: None).run()
+            Writer(client, watch_cache, works, proof, lambda why: None, lambda: None).run()
         )
         attempts = [works.assign(work, piece, "m-000001", piece, 0.0) for piece in range(100)]
         await asyncio.sleep(2)
