Warm standby: a shadow of the job queue on every follower, and take-overs from it

Need: a follower had the watch cache alone, and a new leader waited for the pause between two read barriers (0.1 s) and rebuilt the whole job queue.

Change: spoolcourse/control/standby. A shadow is kept in line with the records change by change; a 410, a missed stretch, an answer that goes back or a change that does not fit make it unfit, and it is rebuilt from a read, counted and logged. A take-over catches up to its claim by one request and goes on from the shadow; where that is unfit it restores as before. A follower that is behind lets others stand first, for a bounded time. Phases of a take-over are noted and logged.

Found by the property test's model: a page read while keys change could bring back a key whose deletion the watch had told meanwhile; deletions are now remembered as long as all keys are being read.

--- a/spoolcourse/cli.py
+++ b/spoolcourse/cli.py
@@ -15,6 +15,7 @@
 from spoolcourse.policy.keys import PolicySource, load_policy
 from spoolcourse.wire import paths
 from spoolcourse.wire.settings import Settings, load_settings, split_address
+from spoolcourse.wire.standby_settings import StandbySettings, load_standby
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -42,6 +43,7 @@
 
     for command in (serve, check):
         command.add_argument("--policy", metavar="FILE", help="operators' policy (TOML)")
+        command.add_argument("--standby", metavar="FILE", help="warm standby (TOML)")
 
     submit = commands.add_parser("submit", help="submit a job")
     submit.add_argument("file", metavar="FILE", help="the job as JSON; - for standard input")
@@ -74,12 +76,12 @@
         logging.getLogger(noisy).setLevel(max(logging.WARNING, LEVELS[name]))
 
 
-async def _serve(settings: Settings, policy: PolicySource) -> None:
+async def _serve(settings: Settings, policy: PolicySource, standby: StandbySettings) -> None:
     from spoolcourse.control.controller import Controller
     from spoolcourse.control.net import HttpNet
     from spoolcourse.control.server import listen
 
-    controller = Controller(settings, HttpNet(), policy)
+    controller = Controller(settings, HttpNet(), policy, standby=standby)
     for field, handler in (
         ("cluster_listen", controller.peers),
         ("listen", controller.public),
@@ -126,11 +128,13 @@
     if args.command == "check":
         settings = load_settings(args.config)
         load_policy(args.policy)
+        load_standby(args.standby)
         print(f"{args.config}: ok: {settings.label}, {len(settings.seeds)} peers")
         return 0
     if args.command == "serve":
         _log_setup()
-        asyncio.run(_serve(load_settings(args.config), load_policy(args.policy)))
+        settings, policy = load_settings(args.config), load_policy(args.policy)
+        asyncio.run(_serve(settings, policy, load_standby(args.standby)))
         return 0
     split_address(args.node, "--node")
     if args.command == "submit":
--- a/spoolcourse/control/controller.py
+++ b/spoolcourse/control/controller.py
@@ -20,7 +20,8 @@
 from spoolcourse.control.load import Load
 from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacityError
 from spoolcourse.control.net import Net, NetError, Reply, Request, later, refusal_reply
-from spoolcourse.control.standby.takeover import TakeoverFromRecords
+from spoolcourse.control.standby.follower import Standby
+from spoolcourse.control.standby.takeover import Takeover, TakeoverFromRecords, TakeoverFromShadow
 from spoolcourse.control.store.client import RefusedError, StoreClient, UnclearError
 from spoolcourse.control.store.keys import CATALOG, PREFIX
 from spoolcourse.control.store.records import catalog_value
@@ -30,6 +31,7 @@
 from spoolcourse.wire import paths
 from spoolcourse.wire.messages import Catalog, MachineType, MalformedError, parse, parse_report
 from spoolcourse.wire.settings import Settings
+from spoolcourse.wire.standby_settings import OFF, StandbySettings
 from spoolcourse.wire.state_service import Put
 
 log = logging.getLogger(__name__)
@@ -52,6 +54,7 @@
         policy: PolicySource | None = None,
         wall_clock: Callable[[], float] = time.time,
         run_id: str | None = None,
+        standby: StandbySettings = OFF,
     ) -> None:
         params = settings.settings
         self._settings = settings
@@ -86,11 +89,20 @@
         self.user_api = UserApi(self._context, lambda: self.leadership.leader_label)
         self.relay = Relay(net, settings.label, settings.seeds, params.workers.report_s)
         self.leader_term: LeaderTerm | None = None
+        self._takeover: Takeover = TakeoverFromRecords(self._context)
+        self.standby: Standby | None = None
+        if standby.enabled:
+            self._use_standby(standby)
         self.watch_cache.listen(self._on_change)
         self._tasks: list[asyncio.Task[None]] = []
         self.ready = False
         self.healthy = True
 
+    def _use_standby(self, settings: StandbySettings) -> None:
+        self.standby = Standby(self._context, settings)
+        self._takeover = TakeoverFromShadow(self._context, self.standby, settings)
+        self.leadership.standing_delay_s = self.standby.standing_delay_s
+
     # -- life -------------------------------------------------------------------------
 
     def start(self) -> None:
@@ -104,6 +116,8 @@
             self.load.run,
         ):
             self._tasks.append(loop.create_task(self._supervise(run)))
+        if self.standby is not None:
+            self._tasks.append(loop.create_task(self._supervise(self.standby.run)))
 
     async def _supervise(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
         """A loop that fails for an unforeseen reason is begun again, not the process."""
@@ -129,9 +143,7 @@
 
     def _elected(self, term: Term) -> None:
         self.watch_cache.watch_gap_s = WATCH_GAP_LEADING_S
-        self.leader_term = LeaderTerm(
-            term, self.leadership, self._context, TakeoverFromRecords(self._context)
-        )
+        self.leader_term = LeaderTerm(term, self.leadership, self._context, self._takeover)
         self.leader_term.start()
 
     def _deposed(self) -> None:
@@ -139,6 +151,8 @@
         if self.leader_term is not None:
             self.leader_term.stop()
             self.leader_term = None
+        if self.standby is not None:
+            self.standby.follow_again()
 
     def _on_change(self, key: str, value: Any, revision: int) -> None:
         if key == CATALOG and value is not None and not self.machine_types:
--- a/spoolcourse/control/fleet/command_builder.py
+++ b/spoolcourse/control/fleet/command_builder.py
@@ -7,6 +7,7 @@
 
 from spoolcourse.control.fleet.machine import Machine
 from spoolcourse.control.jobs.job_queue import Attempt, AttemptStage, JobState
+from spoolcourse.control.standby.timeline import Phase
 from spoolcourse.wire.commands import Acknowledge, Command, Start, Stop
 from spoolcourse.wire.messages import EndCause, Report, TaskReport, TaskStage, split_task_name
 
@@ -100,6 +101,7 @@
                 return
             if attempt.stage is AttemptStage.ASSIGNED and self._startable(attempt):
                 attempt.start_sent_with = (report.session, report.sequence)
+                self._leader.reached(Phase.FIRST_START)
                 commands.append(Start(attempt.name, attempt.number))
 
     # -- at the machine's address ---------------------------------------------------------
@@ -145,6 +147,8 @@
         if not (self._leader.may_start() and machine.placeable):
             return []
         fresh = [a for a in machine.attempts.values() if self._fresh(a)][:COMMANDS_MAX]
+        if fresh:
+            self._leader.reached(Phase.FIRST_START)
         for attempt in fresh:
             attempt.sent_directly = True
             attempt.in_flight_session = machine.session
--- a/spoolcourse/control/fleet/worker_registry.py
+++ b/spoolcourse/control/fleet/worker_registry.py
@@ -18,6 +18,7 @@
 from spoolcourse.control.jobs.job_queue import Attempt, JobQueue
 from spoolcourse.control.leadership.renewal_deadline import DRIFT
 from spoolcourse.control.standby.proof import TakeoverProof
+from spoolcourse.control.standby.timeline import Phase
 from spoolcourse.wire.commands import Command
 from spoolcourse.wire.messages import Report
 from spoolcourse.wire.settings import Workers
@@ -70,6 +71,10 @@
         """Something may be placed now that could not be before."""
         ...
 
+    def reached(self, phase: Phase) -> None:
+        """The take-over has come to a phase; told again and again, and noted once."""
+        ...
+
 
 class WorkerRegistry:
     """All machines of the term."""
@@ -270,5 +275,6 @@
                 # for gone while they run.
                 machine.leased_at = now
                 log.debug("%s: confirmed in session %d", machine.id, report.session)
+                self.leader.reached(Phase.FIRST_WORKER)
                 self.leader.on_room()
             self._reconciler.reconcile(machine, report, now)
--- a/spoolcourse/control/jobs/job_queue.py
+++ b/spoolcourse/control/jobs/job_queue.py
@@ -322,9 +322,19 @@
         """Rebuild from the records; attempts are open until their machines have spoken."""
         job_state = self._begin(record, now)
         for index, (progress, revision) in saved.items():
-            job_state.chunks[index] = Chunk(index, progress, revision)
-            job_state.done += progress.done.bit_count()
-            for task, (machine, number) in list(progress.held.items()):
-                self.adopt(job_state, task, machine, number, now)
+            self.take_record(job_state, Chunk(index, progress, revision), now)
         self.check(job_state)
         return job_state
+
+    def take_record(self, job_state: JobState, recorded: Chunk, now: float) -> None:
+        """Bring a chunk in line with its record; the attempts that it names may be anywhere."""
+        former = job_state.chunks.get(recorded.index, Chunk(recorded.index)).progress
+        job_state.chunks[recorded.index] = recorded
+        job_state.done += recorded.progress.done.bit_count() - former.done.bit_count()
+        held = recorded.progress.held
+        for task, holder in former.held.items():
+            if held.get(task) != holder:
+                del job_state.attempts[task]
+        for task, (machine, number) in held.items():
+            if task not in job_state.attempts:
+                self.adopt(job_state, task, machine, number, now)
--- a/spoolcourse/control/leader/active_leader.py
+++ b/spoolcourse/control/leader/active_leader.py
@@ -21,6 +21,7 @@
 from spoolcourse.control.machines.autoscaler import FleetAutoscaler
 from spoolcourse.control.placement.snapshot_builder import SnapshotBuilder
 from spoolcourse.control.standby.takeover import TakenOver
+from spoolcourse.control.standby.timeline import Phase, Timeline
 from spoolcourse.control.store.client import RefusedError, UnclearError
 from spoolcourse.control.store.keys import JOB
 from spoolcourse.control.store.records import JobRecord
@@ -40,10 +41,12 @@
         leadership: Leadership,
         context: ControllerContext,
         renewal_deadline: RenewalDeadline,
+        timeline: Timeline,
     ) -> None:
         self._leadership = leadership
         self._context = context
         self._clock = context.clock
+        self._timeline = timeline
         self._leftover_keys = taken_over.restored.leftover_keys
         self.proof = taken_over.proof
         self.job_queue = taken_over.restored.job_queue
@@ -121,6 +124,10 @@
         """Something may be placed now that could not be before."""
         self.scheduling.wake.set()
 
+    def reached(self, phase: Phase) -> None:
+        """The take-over has come to a phase; told again and again, and noted once."""
+        self._timeline.reach(phase)
+
     def base(self) -> frozenset[str]:
         """The machines that are not returned for being idle."""
         return self.base_machines.names()
--- a/spoolcourse/control/leader/leader_term.py
+++ b/spoolcourse/control/leader/leader_term.py
@@ -15,6 +15,7 @@
 from spoolcourse.control.net import Reply, later
 from spoolcourse.control.standby.proof import SupersededError
 from spoolcourse.control.standby.takeover import Takeover
+from spoolcourse.control.standby.timeline import Phase, Timeline
 from spoolcourse.wire.messages import Report
 
 log = logging.getLogger(__name__)
@@ -32,6 +33,10 @@
         self._takeover = takeover
         self._renewal_deadline = RenewalDeadline(context.params.workers)
         self._tasks: list[asyncio.Task[None]] = []
+        self.timeline = Timeline(context.clock)
+        if leadership.vacant_at is not None:
+            self.timeline.reach(Phase.VACANT, leadership.vacant_at)
+        self.timeline.reach(Phase.ELECTED)
         self.active: ActiveLeader | None = None
 
     # -- life -------------------------------------------------------------------------
@@ -65,9 +70,11 @@
 
     async def _take_over(self) -> None:
         taken_over = await self._takeover.run(self._term)
+        self.timeline.proof = taken_over.proof
+        self.timeline.reach(Phase.PROVEN)
         # No waiting between the proof and this: no change is missed.
         self.active = ActiveLeader(
-            taken_over, self._leadership, self._context, self._renewal_deadline
+            taken_over, self._leadership, self._context, self._renewal_deadline, self.timeline
         )
         jobs = self.active.job_queue.jobs.values()
         log.info(
--- a/spoolcourse/control/leader/scheduling_loop.py
+++ b/spoolcourse/control/leader/scheduling_loop.py
@@ -18,6 +18,7 @@
 from spoolcourse.control.placement.model import Decision, Plan, Snapshot
 from spoolcourse.control.placement.preempt import choose_victims
 from spoolcourse.control.placement.snapshot_builder import SnapshotBuilder
+from spoolcourse.control.standby.timeline import Phase
 from spoolcourse.wire.cloud import MachineKind
 from spoolcourse.wire.messages import MachineType
 
@@ -103,6 +104,7 @@
         with self._load.spent("place"):
             plan = place(snapshot)
         self.passes += 1
+        self._registry.leader.reached(Phase.FIRST_PASS)
         job_states = self._snapshot_builder.job_states
         self._reasons = {job_states[i].id: reason for i, reason in plan.why.items()}
         wanted_cpus = held_cpus + _planned_cpus(snapshot, plan)
--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -56,6 +56,9 @@
         self._ttl_s = ttl_s
         self.term: Term | None = None
         self.terms = 0  # elected so many times
+        self.vacant_at: float | None = None  # when this node saw that nobody leads
+        # For how long to let others stand first; a follower that is behind does.
+        self.standing_delay_s: Callable[[], float] = lambda: 0.0
         self._valid_until = float("-inf")
         self._changed = asyncio.Event()
         self._deposed = asyncio.Event()
@@ -95,6 +98,8 @@
     def _on_change(self, key: str, value: object, revision: int) -> None:
         if key in (LEADER, TERM):
             self._changed.set()
+            if key == LEADER and value is None:
+                self.vacant_at = asyncio.get_running_loop().time()
             if key == TERM and self.term is not None and revision > self.term.revision:
                 self.depose("a newer term was elected")
 
@@ -117,12 +122,30 @@
                     if loop.time() - self._watch_cache.synced_at > self._ttl_s:
                         await self._watch_cache.sync()
                 continue
+            if await self._another_stands():
+                continue
             try:
                 await self._stand()
             except (RefusedError, UnclearError, LeaseGoneError) as exc:
                 log.debug("election: %s", exc)
                 await asyncio.sleep(random.uniform(*ELECTION_PAUSE_S))
 
+    async def _another_stands(self) -> bool:
+        """Let others stand first where this node is behind; whether one of them was elected.
+
+        The wait is bounded: with all nodes behind, somebody still leads.
+        """
+        delay_s = self.standing_delay_s()
+        if delay_s <= 0:
+            return False
+        log.info("not caught up: others may stand for election for %.1f s", delay_s)
+        try:
+            async with asyncio.timeout(delay_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def _is_former_self(self, value: dict[str, str]) -> bool:
         # A restarted process need not wait for its own lease: the run that held it is
         # dead, and the new term fences whatever it still has on the way.
--- a/spoolcourse/control/standby/takeover.py
+++ b/spoolcourse/control/standby/takeover.py
@@ -9,16 +9,21 @@
 
 from spoolcourse.control.context import ControllerContext
 from spoolcourse.control.leadership.election import Term
+from spoolcourse.control.standby.comparison import differences
+from spoolcourse.control.standby.follower import Standby
 from spoolcourse.control.standby.proof import BehindError, ProofSource, TakeoverProof
 from spoolcourse.control.standby.restore import (
     RestoredJobs,
     note_waiting_times,
     restore_from_records,
 )
+from spoolcourse.control.store.retry import RetryDelay
+from spoolcourse.wire.standby_settings import StandbySettings
 
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.1
+DIFFERENCES_LOGGED = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,3 +63,42 @@
         restored = restore_from_records(self._context)
         note_waiting_times(self._context, restored.job_queue)
         return TakenOver(proof, restored)
+
+
+class TakeoverFromShadow:
+    """One request that catches up to the claim; then the shadow is what a restore would make."""
+
+    def __init__(
+        self, context: ControllerContext, standby: Standby, settings: StandbySettings
+    ) -> None:
+        self._context = context
+        self._standby = standby
+        self._verify = settings.verify
+        self.mismatches = 0  # of the shadow and a restore, found where that is verified
+
+    async def run(self, term: Term) -> TakenOver:
+        """Catch up to the claim of the term, and prove it; goes on until the term ends."""
+        retry = RetryDelay()
+        while not await self._context.watch_cache.reach(term.revision):
+            await retry.wait()
+        proof = TakeoverProof(term, self._context.watch_cache, ProofSource.SHADOW)
+        restored = self._standby.hand_over()
+        if restored is not None and self._verify:
+            restored = self._verified(restored)
+        if restored is None:
+            log.warning("the shadow can't be used (%s): restoring", self._standby.unfit_reason)
+            proof = TakeoverProof(term, self._context.watch_cache, ProofSource.RECORDS)
+            restored = restore_from_records(self._context)
+        note_waiting_times(self._context, restored.job_queue)
+        return TakenOver(proof, restored)
+
+    def _verified(self, shadowed: RestoredJobs) -> RestoredJobs | None:
+        """The shadow's job queue if it is what a restore makes, else None."""
+        found = differences(shadowed, restore_from_records(self._context))
+        if not found:
+            return shadowed
+        self.mismatches += 1
+        self._standby.unfit_reason = "it differs from the records"
+        for difference in found[:DIFFERENCES_LOGGED]:
+            log.error("the shadow differs from the records: %s", difference)
+        return None
--- a/spoolcourse/control/store/watch_cache.py
+++ b/spoolcourse/control/store/watch_cache.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 from spoolcourse.control.store.client import CompactedError, RefusedError, StoreClient, UnclearError
@@ -30,6 +31,14 @@
 Listener = Callable[[str, Any, int], None]
 
 
+class WatchGap(Enum):
+    """Why the changes since the last answer can't all be had, or can't be trusted."""
+
+    COMPACTED = "the state service no longer keeps the changes"
+    FAR_BEHIND = "too many changes to be taken in one by one"
+    WENT_BACK = "the state service answered with an earlier revision"
+
+
 class WatchCache:
     """Keys below `prefix + "live/"`; changes elsewhere below `prefix` go to listeners only."""
 
@@ -39,13 +48,18 @@
         self.live = prefix + "live/"
         self._block_s = block_s
         self._entries: dict[str, Entry] = {}
-        self._deleted_ahead: dict[str, int] = {}  # keys deleted ahead of the watch
+        # Keys deleted ahead of the watch, or while all keys are being read: a page that was read
+        # before must not bring them back.
+        self._deleted_ahead: dict[str, int] = {}
+        self._reads = 0  # of all keys, under way
         self._listeners: list[Listener] = []
         self.store_revision = -1
         self.synced_at = float("-inf")  # a call sent then has been answered
         self.loaded = asyncio.Event()
         self._sync_waiters: list[asyncio.Future[None]] = []
         self._sync_task: asyncio.Task[None] | None = None
+        self.on_gap: Callable[[WatchGap], None] = lambda gap: None
+        self.on_load: Callable[[], None] = lambda: None
         self.sync_gap_s = SYNC_GAP_S
         self.watch_gap_s = WATCH_GAP_S
 
@@ -90,7 +104,7 @@
                 self.apply(change.key, change.value, change.revision)
         if store_revision > self.store_revision:
             self.store_revision = store_revision
-            if self._deleted_ahead:
+            if self._deleted_ahead and not self._reads:
                 self._deleted_ahead = {
                     k: s for k, s in self._deleted_ahead.items() if s > store_revision
                 }
@@ -98,7 +112,18 @@
     async def load(self) -> None:
         """Read all live keys afresh; keys that are gone are reported as deleted."""
         start = asyncio.get_running_loop().time()
-        entries, store_revision = await self._client.read_all(self.live)
+        self._reads += 1
+        try:
+            entries, store_revision = await self._client.read_all(self.live)
+            self._replace(entries, store_revision)
+        finally:
+            self._reads -= 1
+        self._advance(store_revision, [])
+        self.synced_at = max(self.synced_at, start)
+        self.loaded.set()
+        self.on_load()
+
+    def _replace(self, entries: list[Entry], store_revision: int) -> None:
         present = {e.key for e in entries}
         for key in [
             k for k, e in self._entries.items() if k not in present and e.revision <= store_revision
@@ -106,9 +131,6 @@
             self.apply(key, None, max(store_revision, self._entries[key].revision + 1))
         for entry in entries:
             self.apply(entry.key, entry.value, entry.revision)
-        self._advance(store_revision, [])
-        self.synced_at = start
-        self.loaded.set()
 
     async def run(self) -> None:
         """Keep the copy warm until cancelled."""
@@ -124,7 +146,7 @@
                 await asyncio.sleep(self.watch_gap_s)
             except CompactedError:
                 log.info("watch fell behind; reading all keys again")
-                self.loaded.clear()
+                self._fall_behind(WatchGap.COMPACTED)
             except (RefusedError, UnclearError) as exc:
                 log.debug("watch: %s", exc)
                 await retry.wait()
@@ -145,16 +167,39 @@
             return False
         return True
 
+    async def reach(self, store_revision: int) -> bool:
+        """Catch up to a revision with one request at once; whether that is done.
+
+        `sync` makes callers wait for one another, which spares requests; a take-over waits for
+        nobody.
+        """
+        if self.store_revision < store_revision and self.loaded.is_set():
+            try:
+                await self._follow(0.0, urgent=True)
+            except CompactedError:
+                self._fall_behind(WatchGap.COMPACTED)
+            except (RefusedError, UnclearError) as exc:
+                log.debug("catching up: %s", exc)
+        return self.loaded.is_set() and self.store_revision >= store_revision
+
+    def _fall_behind(self, gap: WatchGap) -> None:
+        self.loaded.clear()
+        self.on_gap(gap)
+
     async def _follow(self, block_s: float, urgent: bool = False) -> None:
         """Take in the changes since; raises `CompactedError` if all keys are to be read instead."""
         start = asyncio.get_running_loop().time()
         if start - self.synced_at > self._block_s + AWAY_MARGIN_S:
             latest = await self._client.latest_revision(self.live)
             if latest - self.store_revision > CHANGES_MOST:
+                self.on_gap(WatchGap.FAR_BEHIND)
                 raise CompactedError
+        since = self.store_revision
         store_revision, changes = await self._client.watch(
-            self.prefix, self.store_revision, block_s, urgent=urgent
+            self.prefix, since, block_s, urgent=urgent
         )
+        if store_revision < since:
+            self.on_gap(WatchGap.WENT_BACK)
         self._advance(store_revision, changes)
         self.synced_at = max(self.synced_at, start)
 
@@ -165,7 +210,7 @@
                 await self._follow(0.0)
                 error: Exception | None = None
             except CompactedError:
-                self.loaded.clear()
+                self._fall_behind(WatchGap.COMPACTED)
                 error = UnclearError("watch fell behind")
             except (RefusedError, UnclearError) as exc:
                 error = exc
--- a/tests/fakes/registry.py
+++ b/tests/fakes/registry.py
@@ -6,6 +6,7 @@
 
 from spoolcourse.control.fleet.worker_registry import Answer, WorkerRegistry
 from spoolcourse.control.jobs.job_queue import Attempt, JobQueue, JobState
+from spoolcourse.control.standby.timeline import Phase
 from spoolcourse.control.store.records import JobRecord
 from spoolcourse.wire.commands import to_json_object
 from spoolcourse.wire.messages import Report, Submission, parse
@@ -48,6 +49,9 @@
     def on_room(self) -> None:
         pass
 
+    def reached(self, phase: Phase) -> None:
+        pass
+
     def report(self, *pieces: dict[str, Any], **fields: Any) -> list[dict[str, Any]] | None:
         outcome = self.registry.accept(self._made(pieces, fields))
         if not isinstance(outcome, Answer):
--- /dev/null
+++ b/tests/test_standby_properties.py
@@ -0,0 +1,212 @@
+"""Whatever changes come, and however they come, a shadow is what a restore would make.
+
+The state service is a model; the watch brings its changes in pieces, twice, ahead of their turn
+or not at all, and pages are read while it changes.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from types import SimpleNamespace
+from typing import Any, cast
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from spoolcourse.control.context import ControllerContext
+from spoolcourse.control.jobs.job_index import JobIndex
+from spoolcourse.control.standby.comparison import differences
+from spoolcourse.control.standby.follower import ShadowState, Standby
+from spoolcourse.control.standby.restore import restore_from_records
+from spoolcourse.control.store.keys import TERM, job_key, progress_key
+from spoolcourse.control.store.records import JobRecord, Progress
+from spoolcourse.control.store.watch_cache import WatchGap
+from spoolcourse.wire.messages import Submission, parse
+from spoolcourse.wire.standby_settings import StandbySettings
+from spoolcourse.wire.state_service import Change, Entry
+from tests.fakes.proof import LIMITS, cache_at
+from tests.fakes.world import job
+
+CHUNK = 16
+# Few jobs and tasks, so that changes meet; they lie in three chunks.
+JOBS = st.integers(1, 3)
+TASKS = st.sampled_from([0, 1, 16, 33])
+TASK_COUNTS = st.sampled_from([2, 18, 34])
+
+
+class ShadowMachine(RuleBasedStateMachine):
+    """Users, a leader, the state service, and a follower with its shadow."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.keys: dict[str, tuple[Any, int]] = {}
+        self.log: list[Change] = []
+        self.revision = 0
+        self.attempts = 0
+        self.accepted: set[int] = set()
+        self.cache = cache_at(0)
+        index = JobIndex(cast(Any, None), self.cache)
+        params = SimpleNamespace(state=LIMITS)
+        self.context = cast(
+            ControllerContext,
+            SimpleNamespace(
+                watch_cache=self.cache, job_index=index, params=params, clock=lambda: 7.0
+            ),
+        )
+        self.standby = Standby(self.context, StandbySettings(enabled=True))
+        self.read_all(lambda: None)
+
+    # -- what is written ------------------------------------------------------------------
+
+    def write(self, *changes: tuple[str, Any]) -> None:
+        self.revision += 1
+        for key, value in changes:
+            if value is None and key not in self.keys:
+                continue
+            self.log.append(Change(key, value, self.revision))
+            if value is None:
+                del self.keys[key]
+            else:
+                self.keys[key] = (value, self.revision)
+
+    def record(self, number: int) -> JobRecord | None:
+        found = self.keys.get(job_key(f"job-{number:06d}"))
+        return JobRecord.from_value(*found) if found else None
+
+    def progress(self, number: int, task: int) -> tuple[str, Progress]:
+        key = progress_key(f"job-{number:06d}", task // CHUNK)
+        found = self.keys.get(key)
+        return key, Progress.from_value(found[0]) if found else Progress()
+
+    @rule(number=JOBS, tasks=TASK_COUNTS)
+    def accept(self, number: int, tasks: int) -> None:
+        if number not in self.accepted:  # ids never come back
+            self.accepted.add(number)
+            submission = parse(job(number, pieces=tasks), Submission)
+            record = JobRecord(submission, float(number), CHUNK, None, 0)
+            self.write((job_key(submission.id), record.value()))
+
+    @rule(number=JOBS)
+    def cancel(self, number: int) -> None:
+        record = self.record(number)
+        if record is not None:
+            record.aborted_at = 3.0
+            self.write((job_key(record.submission.id), record.value()))
+
+    @rule(number=JOBS, task=TASKS, machine=st.sampled_from(["m-1", "m-2"]))
+    def place(self, number: int, task: int, machine: str) -> None:
+        record = self.record(number)
+        if record is not None and task < record.submission.task_count:
+            key, progress = self.progress(number, task)
+            self.attempts += 1
+            progress.held[task] = (machine, self.attempts)
+            self.write((key, progress.value()))
+
+    @rule(number=JOBS, task=TASKS, done=st.booleans())
+    def end(self, number: int, task: int, done: bool) -> None:
+        record = self.record(number)
+        if record is not None and task < record.submission.task_count:
+            key, progress = self.progress(number, task)
+            progress.held.pop(task, None)
+            if done:
+                progress.done |= 1 << (task % CHUNK)
+            self.write((key, progress.value()))
+
+    @rule(number=JOBS, left=st.integers(0, 2))
+    def finish(self, number: int, left: int) -> None:
+        """The job goes in one transaction with its progress, or most of it."""
+        record = self.record(number)
+        if record is not None:
+            job = record.submission.id
+            chunks = [progress_key(job, index) for index in range(record.chunks)]
+            self.write((job_key(job), None), *((key, None) for key in chunks[left:]))
+
+    @rule(number=JOBS)
+    def sweep(self, number: int) -> None:
+        job = f"job-{number:06d}"
+        self.write(*((progress_key(job, index), None) for index in range(3)))
+
+    @rule()
+    def elect(self) -> None:
+        self.write((TERM, {"term": self.revision + 1, "run": "r", "hold": 1}))
+
+    # -- what the follower gets of it -----------------------------------------------------
+
+    @rule(count=st.integers(1, 6), again=st.integers(0, 6))
+    def watch(self, count: int, again: int) -> None:
+        """The next revisions, and some of those before once more."""
+        reached = min(self.cache.store_revision + count, self.revision)
+        since = self.cache.store_revision - again
+        self.cache._advance(reached, [c for c in self.log if since < c.revision <= reached])
+
+    @rule(behind=st.integers(1, 6), span=st.integers(1, 6))
+    def late_answer(self, behind: int, span: int) -> None:
+        """An answer that was overtaken by a later one."""
+        reached = self.cache.store_revision - behind
+        since = reached - span
+        self.cache._advance(reached, [c for c in self.log if since < c.revision <= reached])
+
+    @precondition(lambda self: self.log)
+    @rule(data=st.data())
+    def write_ahead(self, data: st.DataObject) -> None:
+        """This node's own write is known to it before the watch brings it."""
+        key = data.draw(st.sampled_from(sorted({c.key for c in self.log})))
+        if key in self.keys:
+            self.cache.apply(key, *self.keys[key])
+
+    @rule(gap=st.sampled_from(WatchGap), number=JOBS, task=TASKS, ends=st.booleans())
+    def lose_changes(self, gap: WatchGap, number: int, task: int, ends: bool) -> None:
+        """Changes are missed; all keys are read, and while they are, some change and are seen."""
+        self.standby._on_gap(gap)
+        self.accept(number, 34)
+
+        def meanwhile() -> None:
+            self.place(number, task, "m-3")
+            if ends:
+                self.finish(number, 0)
+
+        self.read_all(meanwhile)
+
+    def read_all(self, meanwhile: Callable[[], None]) -> None:
+        first = self.revision
+        self.cache._reads += 1
+        entries = [Entry(k, v, r) for k, (v, r) in sorted(self.keys.items()) if "/prog/" not in k]
+        meanwhile()
+        entries += [Entry(k, v, r) for k, (v, r) in sorted(self.keys.items()) if "/prog/" in k]
+        self.watch(self.revision, 0)
+        self.cache._replace(entries, first)
+        self.cache._reads -= 1
+        self.cache._advance(first, [])
+        self.cache.loaded.set()
+        self.cache.on_load()
+
+    # -- what must hold -------------------------------------------------------------------
+
+    @invariant()
+    def the_shadow_is_what_a_restore_makes(self) -> None:
+        shadow = self.standby.shadow
+        assert self.standby.state is ShadowState.FIT and shadow is not None
+        restored = restore_from_records(self.context)
+        assert differences(shadow.hand_over(), restored) == []
+        job_states = restored.job_queue.jobs.values()
+        assert shadow.attempts == sum(len(job_state.attempts) for job_state in job_states)
+        held = sum(2.0 * len(job_state.attempts) for job_state in job_states)
+        assert shadow.team_usage["red"].cpus == held
+
+    @invariant()
+    def what_is_caught_up_is_what_is_stored(self) -> None:
+        if self.cache.store_revision == self.revision:
+            known = {e.key: (e.value, e.revision) for e in self.cache.below(self.cache.live)}
+            assert known == self.keys
+
+
+ShadowMachine.TestCase.settings = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestShadow = ShadowMachine.TestCase
