--- a/tests/loopback/__main__.py
+++ b/tests/loopback/__main__.py
@@ -30,6 +30,8 @@
     parser.add_argument("--kills", type=int, default=4, help="losses of the leader in a play")
     parser.add_argument("--lag", action="store_true", help="a burst of changes before each")
     parser.add_argument("--no-pauses", action="store_true", help="kill, never pause")
+    parser.add_argument("--machines", type=int, default=4)
+    parser.add_argument("--report-s", type=float, default=1.0, help="between a worker's reports")
     parser.add_argument("--out", type=Path, help="append the outcomes, a JSON object a line")
     args = parser.parse_args()
     first = args.seed if args.seed is not None else SystemRandom().randrange(1_000_000)
@@ -37,7 +39,14 @@
     for seed in range(first, first + args.runs):
         for standby in MODES[args.standby]:
             options = Options(
-                seed, standby, args.controllers, args.kills, not args.no_pauses, args.lag
+                seed,
+                standby,
+                args.controllers,
+                args.kills,
+                not args.no_pauses,
+                args.lag,
+                args.machines,
+                args.report_s,
             )
             with tempfile.TemporaryDirectory() as directory:
                 outcome = asyncio.run(Play(options, Path(directory)).run())
--- a/tests/loopback/play.py
+++ b/tests/loopback/play.py
@@ -27,11 +27,11 @@
 from tests.loopback.standins import Stage, address_of, bound_socket, no_hook
 
 ROOT = Path(__file__).resolve().parent.parent.parent
-MACHINES = 4
-CANCEL_S = 20.0
 START_LIMIT_S = 40.0
 CALM_LIMIT_S = 60.0  # until everything accepted is over, after the last trouble
 RESTART_S = 1.5
+LEASE_REPORTS = 5
+CANCEL_LEASES = 4
 PAUSE_S = 4.0  # longer than the leader's lease
 SETTLE_S = 0.5  # after which whoever was hit is back
 ATTEMPT_BITS = 24
@@ -57,6 +57,8 @@
     kills: int = 2
     pauses: bool = True  # some leaders are paused instead of killed
     lag: bool = False  # a burst of changes comes just before the leader is hit
+    machines: int = 4
+    report_s: float = 1.0  # between a worker's reports; its lease is five times that
 
 
 @dataclass(frozen=True, slots=True)
@@ -118,6 +120,7 @@
         self.options = options
         self.outcome = Outcome(options)
         self._random = Random(options.seed)
+        self._cancel_s = CANCEL_LEASES * LEASE_REPORTS * options.report_s
         self._directory = directory
         self.nodes: list[Node] = []
         self._accepted: dict[str, str] = {}  # the last stage that was told
@@ -142,12 +145,14 @@
         finally:
             users.cancel()
             self._end()
+            for bound in self._ports:
+                bound.close()
             for worker in list(self.stage.cloud.workers.values()):
                 worker.die()
             await self.stage.wire.close()
         self.stage.history.ended = self.stage.now()
         self.outcome.broken += self.stage.cloud.broken
-        self.outcome.broken += broken_rules(self.stage.history, CANCEL_S)
+        self.outcome.broken += broken_rules(self.stage.history, self._cancel_s)
         return self.outcome
 
     # -- processes ------------------------------------------------------------------------
@@ -159,10 +164,13 @@
             node = Node(label, self._directory / f"{label}.json", self.options.standby)
             node.public, node.peers = address_of(public), address_of(peers)
             self.nodes.append(node)
-        for pair in sockets.values():
-            for bound in pair:
-                bound.close()  # the process takes the port over
-        self.stage = Stage([(node.label, node.public) for node in self.nodes], MACHINES)
+        # Bound as long as the play goes on, and never listened on here: a process may listen on
+        # its port beside that, and nobody else is given it while the process is away.
+        self._ports = [bound for pair in sockets.values() for bound in pair]
+        controllers = [(node.label, node.public) for node in self.nodes]
+        self.stage = Stage(controllers, self.options.machines)
+        self.stage.cloud.report_s = self.options.report_s
+        self.stage.cloud.lease_s = LEASE_REPORTS * self.options.report_s
         for node in self.nodes:
             path = self._directory / f"{node.label}.json"
             path.write_bytes(orjson.dumps(self._settings(node)))
@@ -179,7 +187,11 @@
             "settings": {
                 "zones": ["a", "b"],
                 "teams": [{"name": "red", "cpus": 16.0, "cpus_max": 0.0}],
-                "workers": {"report_s": 1.0, "lease_s": 5.0, "cancel_s": CANCEL_S},
+                "workers": {
+                    "report_s": self.options.report_s,
+                    "lease_s": LEASE_REPORTS * self.options.report_s,
+                    "cancel_s": self._cancel_s,
+                },
                 "state": {"rps": 2000.0, "write_rps": 500.0, "value_kb": 8.0, "txn_ops": 24},
                 "cloud": {"rps": 50.0, "list_lag_s": 1.0},
             },
--- a/tests/loopback/standins.py
+++ b/tests/loopback/standins.py
@@ -88,7 +88,6 @@
         self.cloud = FakeCloud(self.wire, controllers, self.wire.bind)
         self.cloud_address = self.wire.bind("cloud")
         self.wire.hosts[self.cloud_address] = self.cloud.serve
-        self.cloud.lease_s, self.cloud.report_s = 5.0, 1.0
         self.cloud.pull_s, self.cloud.boot_s = 0.02, 0.1
         self.cloud.on_start = self._started
         self.cloud.on_end = self._ended
--- a/tests/test_standby_takeover.py
+++ b/tests/test_standby_takeover.py
@@ -157,6 +157,10 @@
 WAKES: dict[str, tuple[str, Step]] = {
     "before the claim": ("state:1", lambda method, path, body: path == "/holds"),
     "at the claim": ("state:1", sets(TERM)),
+    "before the first write": (
+        "m-000000:9000",
+        lambda method, path, body: path == "/orders" and not body["orders"],
+    ),
     "at the first write": ("state:1", sets(PROGRESS)),
     "after the first start": (
         "m-000000:9000",
