--- /dev/null
+++ b/spoolcourse/control/catalog.py
@@ -0,0 +1,86 @@
+"""The machine types and their prices, read from the cloud now and then.
+
+The types are kept in the state service as well, so that a node that starts while the cloud is out
+can take submissions.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import Any
+
+from spoolcourse.control.leadership.election import Leadership
+from spoolcourse.control.machines.cloud import Cloud, CloudError, NoCapacityError
+from spoolcourse.control.store.client import RefusedError, StoreClient, UnclearError
+from spoolcourse.control.store.keys import CATALOG
+from spoolcourse.control.store.records import catalog_value
+from spoolcourse.control.store.watch_cache import WatchCache
+from spoolcourse.wire.messages import Catalog, MachineType, MalformedError, parse
+from spoolcourse.wire.state_service import Put
+
+log = logging.getLogger(__name__)
+
+# Between reads: prices move, and only the leader rents by them.
+LEADING_S = 20.0
+FOLLOWING_S = 60.0
+RETRY_S = 1.0  # without it nothing can be accepted
+STORE_RETRY_S = 5.0  # the stored one is for starts during an outage of the cloud
+JITTER = (0.8, 1.2)  # so that the nodes don't ask in step
+
+
+class CatalogLoop:
+    """Reads the catalog, and as the leader writes what has changed of its types."""
+
+    def __init__(
+        self, cloud: Cloud, client: StoreClient, watch_cache: WatchCache, leadership: Leadership
+    ) -> None:
+        self._cloud = cloud
+        self._client = client
+        self._watch_cache = watch_cache
+        self._leadership = leadership
+        self.machine_types: dict[str, MachineType] = {}
+        watch_cache.listen(self._on_change)
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        while True:
+            try:
+                catalog = await self._cloud.catalog()
+                self._take(catalog)
+                await self._store(catalog)
+                pause = LEADING_S if self._leadership.term else FOLLOWING_S
+            except (CloudError, NoCapacityError) as exc:
+                log.info("catalog: %s", exc)
+                pause = RETRY_S
+            except (RefusedError, UnclearError) as exc:
+                log.debug("catalog not stored: %s", exc)
+                pause = STORE_RETRY_S
+            await asyncio.sleep(pause * random.uniform(*JITTER))
+
+    def _on_change(self, key: str, value: Any, revision: int) -> None:
+        if key != CATALOG or value is None or self.machine_types:
+            return
+        try:
+            self._take(parse(value, Catalog))
+        except MalformedError as exc:
+            log.error("stored catalog: %s", exc)
+
+    def _take(self, catalog: Catalog) -> None:
+        self.machine_types = {kind.name: kind for kind in catalog.machine_types}
+
+    async def _store(self, catalog: Catalog) -> None:
+        if not self._leadership.valid():
+            return
+        machine_types = sorted(catalog.machine_types, key=lambda kind: kind.name)
+        entry = self._watch_cache.get(CATALOG)
+        if entry is not None:
+            stored = parse(entry.value, Catalog).machine_types
+            if {kind.name for kind in stored} == {kind.name for kind in machine_types}:
+                return
+        value = catalog_value(machine_types)
+        revision = self._watch_cache.revision(CATALOG)
+        outcome = await self._client.txn({CATALOG: revision}, [Put(CATALOG, value)])
+        if outcome.ok:
+            self._watch_cache.apply(CATALOG, value, outcome.store_revision)
--- /dev/null
+++ b/spoolcourse/control/peer_api.py
@@ -0,0 +1,78 @@
+"""What other controllers and operators ask, on the controllers' own address."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import TYPE_CHECKING
+
+from spoolcourse.control import metrics, view
+from spoolcourse.control.leadership import feature_level
+from spoolcourse.control.leadership.cancellation_query import answer_query
+from spoolcourse.control.net import Reply, Request, refusal_reply
+from spoolcourse.control.standby.handover import HandoverRefusedError, hand_over
+from spoolcourse.control.standby.hints import hint_page
+from spoolcourse.wire import paths
+from spoolcourse.wire.commands import to_json_object
+from spoolcourse.wire.messages import MalformedError
+
+if TYPE_CHECKING:
+    from spoolcourse.control.controller import Controller
+
+METRICS_HEADERS = {"Content-Type": "text/plain; version=0.0.4"}
+
+
+class PeerApi:
+    """Answers from a controller's parts."""
+
+    def __init__(self, node: Controller) -> None:
+        self._node = node
+
+    def handle(self, request: Request) -> Reply | Awaitable[Reply] | None:
+        """The answer; None for a path that is not of this interface alone."""
+        path, _, query = request.path.partition("?")
+        if path == paths.HANDOVER and request.method == "POST":
+            return self._hand_over()
+        if request.method != "GET":
+            return None
+        try:
+            return self._read(path, query)
+        except MalformedError as exc:
+            return refusal_reply(400, str(exc))
+
+    def _read(self, path: str, query: str) -> Reply | None:
+        node = self._node
+        if path == paths.CANCELLATIONS:
+            return Reply(200, answer_query(node.job_index, node.watch_cache, query))
+        if path == paths.LEVEL:
+            return Reply(200, feature_level.answer())
+        if path == paths.STATUS:
+            return Reply(200, view.status(node).to_json_object())
+        if path == paths.METRICS:
+            return Reply(200, metrics.exposition(view.status(node)), METRICS_HEADERS)
+        if path in (paths.STANDBY, paths.HINTS):
+            return self._read_standby(path, query)
+        return None
+
+    def _read_standby(self, path: str, query: str) -> Reply:
+        node = self._node
+        if node.standby is None:
+            return refusal_reply(404, "the warm standby is off")
+        if path == paths.STANDBY:
+            return Reply(200, to_json_object(node.standby.answer()))
+        if node.leader_term is None or node.leader_term.active is None:
+            return self._not_the_leader()
+        registry, revision = node.leader_term.active.registry, node.watch_cache.store_revision
+        return Reply(200, to_json_object(hint_page(registry, node.label, revision, query)))
+
+    async def _hand_over(self) -> Reply:
+        node = self._node
+        if node.leader_term is None:
+            return self._not_the_leader()
+        try:
+            return Reply(200, to_json_object(await hand_over(node.context, node.leadership)))
+        except HandoverRefusedError as exc:
+            return refusal_reply(409, str(exc))
+
+    def _not_the_leader(self) -> Reply:
+        leader = self._node.leadership.leader_label
+        return refusal_reply(421, f"{leader} leads" if leader else "nobody is known to lead")
--- a/spoolcourse/control/standby/follower.py
+++ b/spoolcourse/control/standby/follower.py
@@ -110,10 +110,11 @@
             self._unfit.set()  # after the others the watch cache reads all keys by itself
 
     def _become_unfit(self, reason: str) -> None:
+        if self._state is not ShadowState.UNFIT:
+            log.warning("standby: the shadow is unfit: %s", reason)
         self._shadow = None
         self._state = ShadowState.UNFIT
         self.unfit_reason = reason
-        log.warning("standby: the shadow is unfit: %s", reason)
 
     def _rebuild(self) -> None:
         """Build the shadow anew from what the watch cache holds."""
--- a/spoolcourse/control/store/watch_cache.py
+++ b/spoolcourse/control/store/watch_cache.py
@@ -31,6 +31,10 @@
 Listener = Callable[[str, Any, int], None]
 
 
+class FarBehindError(CompactedError):
+    """There are more changes than a watch is to bring."""
+
+
 class WatchGap(Enum):
     """Why the changes since the last answer can't all be had, or can't be trusted."""
 
@@ -144,9 +148,9 @@
                 # A leader at work writes many times a second, and every node is woken by
                 # each write. What comes within this pause comes with one answer.
                 await asyncio.sleep(self.watch_gap_s)
-            except CompactedError:
+            except CompactedError as exc:
                 log.info("watch fell behind; reading all keys again")
-                self._fall_behind(WatchGap.COMPACTED)
+                self._fall_behind(exc)
             except (RefusedError, UnclearError) as exc:
                 log.debug("watch: %s", exc)
                 await retry.wait()
@@ -176,15 +180,16 @@
         if self.store_revision < store_revision and self.loaded.is_set():
             try:
                 await self._follow(0.0, urgent=True)
-            except CompactedError:
-                self._fall_behind(WatchGap.COMPACTED)
+            except CompactedError as exc:
+                self._fall_behind(exc)
             except (RefusedError, UnclearError) as exc:
                 log.debug("catching up: %s", exc)
         return self.loaded.is_set() and self.store_revision >= store_revision
 
-    def _fall_behind(self, gap: WatchGap) -> None:
+    def _fall_behind(self, error: CompactedError) -> None:
         self.loaded.clear()
-        self.on_gap(gap)
+        far_behind = isinstance(error, FarBehindError)
+        self.on_gap(WatchGap.FAR_BEHIND if far_behind else WatchGap.COMPACTED)
 
     async def _follow(self, block_s: float, urgent: bool = False) -> None:
         """Take in the changes since; raises `CompactedError` if all keys are to be read instead."""
@@ -192,8 +197,7 @@
         if start - self.synced_at > self._block_s + AWAY_MARGIN_S:
             latest = await self._client.latest_revision(self.live)
             if latest - self.store_revision > CHANGES_MOST:
-                self.on_gap(WatchGap.FAR_BEHIND)
-                raise CompactedError
+                raise FarBehindError
         since = self.store_revision
         store_revision, changes = await self._client.watch(
             self.prefix, since, block_s, urgent=urgent
@@ -209,8 +213,8 @@
             try:
                 await self._follow(0.0)
                 error: Exception | None = None
-            except CompactedError:
-                self._fall_behind(WatchGap.COMPACTED)
+            except CompactedError as exc:
+                self._fall_behind(exc)
                 error = UnclearError("watch fell behind")
             except (RefusedError, UnclearError) as exc:
                 error = exc
--- a/spoolcourse/control/view.py
+++ b/spoolcourse/control/view.py
@@ -1,7 +1,8 @@
-"""Read-only views for operators, on the controllers' own address: status and metrics."""
+"""The status of a controller, for operators; `metrics` has the same as numbers."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
 import msgspec
@@ -11,10 +12,6 @@
 from spoolcourse.control.standby.follower import ShadowState
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from prometheus_client.core import Metric
-
     from spoolcourse.control.controller import Controller
     from spoolcourse.control.leader.active_leader import ActiveLeader
     from spoolcourse.control.leader.scheduling_loop import WaitingJob
@@ -190,110 +187,33 @@
     )
 
 
-def status(node: Controller) -> dict[str, Any]:
-    """What this node knows; a leader also says what waits, and why."""
-    found: dict[str, Any] = msgspec.to_builtins(_node_status(node))
-    if node.last_timeline is not None:
-        found["lastTakeover"] = msgspec.to_builtins(_takeover_status(node.last_timeline))
-    if node.standby is not None:
-        found["standby"] = msgspec.to_builtins(_standby_status(node, node.standby))
-    if node.leader_term is not None and node.leader_term.active is not None:
-        found |= msgspec.to_builtins(_leader_status(node.leader_term.active))
-    return found
-
-
-_COUNTERS = {
-    "terms": "terms this process was elected for",
-    "storeRequests": "requests to the state service",
-    "storeFailures": "requests to the state service refused or without an answer",
-    "storeWrites": "puts and deletes sent to the state service",
-    "passes": "placement passes of this term",
-}
-_GAUGES = {
-    "loopLagS": "longest time that the event loop was held up, in the last ten seconds",
-    "processorShare": "processor time by time, in the last ten seconds",
-    "liveJobs": "jobs that are not final",
-    "waitingJobs": "jobs with tasks that wait",
-    "waitingPieces": "tasks that wait",
-    "services": "standing services",
-    "replicasMissing": "replicas of services that are not placed",
-    "attempts": "attempts that may be on machines",
-    "unprovenAttempts": "attempts whose whereabouts are open",
-    "fetchesBooked": "image fetches under way",
-    "machines": "machines known",
-    "machinesConfirmed": "machines that have spoken under this term",
-    "passCostS": "processor time of the last pass in seconds",
-    "unsavedKeys": "progress keys that wait to be written",
-}
-
-
-_STANDBY_COUNTERS = {
-    "rebuilds": "times that the shadow was built from a read",
-    "mismatches": "take-overs at which the shadow differed from the records",
-}
-_STANDBY_GAUGES = {
-    "caughtUp": "1 where a take-over would need no restore",
-    "revision": "revision of the state service that is taken in",
-    "revisionsBehind": "revisions that the leader was ahead at its last hints",
-    "silenceS": "time since the state service was heard",
-    "hints": "workers that hints are known of",
-}
-
-
-def _standby_metrics(values: dict[str, Any]) -> Iterable[Metric]:
-    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
-
-    phases_s = values.get("lastTakeover", {}).get("phasesS", {})
-    takeover = GaugeMetricFamily(
-        "spoolcourse_takeover_phase_seconds", "the last take-over, by phase", labels=["phase"]
-    )
-    for phase, seconds in phases_s.items():
-        takeover.add_metric([phase], seconds)
-    yield takeover
-    standby = values.get("standby")
-    if standby is None:
-        return
-    for kind, described in (
-        (CounterMetricFamily, _STANDBY_COUNTERS),
-        (GaugeMetricFamily, _STANDBY_GAUGES),
-    ):
-        for name, about in described.items():
-            yield kind("spoolcourse_standby" + _snake("_" + name), about, float(standby[name]))
-    yield CounterMetricFamily(
-        "spoolcourse_standby_hints_refused",
-        "answers with hints that were not used",
-        float(sum(standby["hintsRefused"].values())),
-    )
-
-
-def _snake(name: str) -> str:
-    return "".join("_" + c.lower() if c.isupper() else c for c in name)
-
-
-def metrics(node: Controller) -> bytes:
-    """The same as numbers, in Prometheus' text format.
+@dataclass(frozen=True, slots=True)
+class Status:
+    """What a controller knows, in parts; those that it has nothing to say of are None."""
 
-    Made only when asked for, so that it costs nothing in between; its library is loaded by the
-    first such call.
-    """
-    from prometheus_client import CollectorRegistry, generate_latest
-    from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
-    from prometheus_client.registry import Collector
+    node: NodeStatus
+    leader: LeaderStatus | None
+    standby: StandbyStatus | None
+    last_takeover: TakeoverStatus | None
 
-    values = status(node)
+    def to_json_object(self) -> dict[str, Any]:
+        """The status as operators' tools know it: the first two parts in one object."""
+        found: dict[str, Any] = msgspec.to_builtins(self.node)
+        if self.last_takeover is not None:
+            found["lastTakeover"] = msgspec.to_builtins(self.last_takeover)
+        if self.standby is not None:
+            found["standby"] = msgspec.to_builtins(self.standby)
+        if self.leader is not None:
+            found |= msgspec.to_builtins(self.leader)
+        return found
 
-    class Once(Collector):
-        def collect(self) -> Iterable[Metric]:
-            yield GaugeMetricFamily(
-                "spoolcourse_leader", "1 on the leader", float(values["role"] == "leader")
-            )
-            for kind, described in ((CounterMetricFamily, _COUNTERS), (GaugeMetricFamily, _GAUGES)):
-                for name, about in described.items():
-                    if name in values:
-                        yield kind("spoolcourse" + _snake("_" + name), about, float(values[name]))
 
-            yield from _standby_metrics(values)
-
-    registry = CollectorRegistry(auto_describe=False)
-    registry.register(Once())
-    return generate_latest(registry)
+def status(node: Controller) -> Status:
+    """What this node knows; a leader also says what waits, and why."""
+    active = node.leader_term.active if node.leader_term is not None else None
+    return Status(
+        node=_node_status(node),
+        leader=_leader_status(active) if active is not None else None,
+        standby=_standby_status(node, node.standby) if node.standby is not None else None,
+        last_takeover=_takeover_status(node.last_timeline) if node.last_timeline else None,
+    )
