--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -118,7 +118,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(self.cloud.tick_s)
             if asyncio.get_running_loop().time() - self.renewed > self.cloud.lease_s:
                 self.session += 1
                 self._lose_tasks()
@@ -192,6 +192,7 @@
         self.lease_s, self.report_s, self.pull_s, self.boot_s = 10.0, 1.5, 1.0, 5.0
         self.run_s: Callable[[str], float] = lambda task: 10.0
         self.cause: Callable[[FakeWorker, Task], str] = lambda worker, task: "done"
+        self.tick_s = 0.1  # between looks whether a lease has run out
         self.broken: list[str] = []
         self.on_start: Callable[[FakeWorker, Task], None] = lambda worker, task: None
         self.starts: list[tuple[float, str, str]] = []
--- a/tests/loopback/play.py
+++ b/tests/loopback/play.py
@@ -32,6 +32,7 @@
 CALM_LEASES = 4  # or so many leases of the workers, if that is longer
 RESTART_S = 1.5
 LEASE_REPORTS = 5
+TICKS = 50  # looks in a lease whether it has run out
 CANCEL_LEASES = 4
 PAUSE_S = 4.0  # longer than the leader's lease
 SETTLE_S = 0.5  # after which whoever was hit is back
@@ -173,6 +174,7 @@
         self.stage = Stage(controllers, self.options.machines)
         self.stage.cloud.report_s = self.options.report_s
         self.stage.cloud.lease_s = self._lease_s
+        self.stage.cloud.tick_s = self._lease_s / TICKS
         for node in self.nodes:
             path = self._directory / f"{node.label}.json"
             path.write_bytes(orjson.dumps(self._settings(node)))
