A vacancy that another controller has filled is not counted into a later take-over

Cause: the moment at which nobody led was kept over the elections of others; a take-over without a vacancy of its own (a process back before its lease has run out sees none) could have been counted from one long past.

Change: it is cleared when another controller is seen to lead.

--- a/spoolcourse/control/leadership/election.py
+++ b/spoolcourse/control/leadership/election.py
@@ -13,6 +13,7 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
 
 from spoolcourse.control.leadership.renewal_deadline import DRIFT
 from spoolcourse.control.store.client import LeaseGoneError, RefusedError, StoreClient, UnclearError
@@ -109,14 +110,20 @@
         except (RefusedError, UnclearError) as exc:
             log.info("the lease is left to run out: %s", exc)
 
-    def _on_change(self, key: str, value: object, revision: int) -> None:
+    def _on_change(self, key: str, value: Any, revision: int) -> None:
         if key in (LEADER, TERM):
             self._changed.set()
-            if key == LEADER and value is None:
-                self.vacant_at = asyncio.get_running_loop().time()
+            if key == LEADER:
+                self._note_vacancy(value)
             if key == TERM and self.term is not None and revision > self.term.revision:
                 self.depose("a newer term was elected")
 
+    def _note_vacancy(self, value: Any) -> None:
+        if value is None:
+            self.vacant_at = asyncio.get_running_loop().time()
+        elif LeaderRecord.label_of(value) != self._label:
+            self.vacant_at = None  # a take-over of this node's own is counted from the next one
+
     async def run(self) -> None:
         """Stand for election, lead, and stand again, until cancelled."""
         loop = asyncio.get_running_loop()
--- a/tests/test_standby_takeover.py
+++ b/tests/test_standby_takeover.py
@@ -144,6 +144,9 @@
         former = await busy(world)
         world.kill(former)
         successor = await taken_over(world, former)
+        follower = next(n for n in world.nodes if n != successor)
+        await world.until(lambda: world.nodes[follower].leadership.leader_label == successor, 5)
+        assert world.nodes[follower].leadership.vacant_at is None, "another has filled it"
         proof = world.active(successor).proof
         assert proof.source is ProofSource.SHADOW
         assert proof.applied_revision >= proof.claim_revision
