Review, case 2: reports of healthy workers pass 64 KiB, and their leases run out

Cause: results wait without a bound while starts use all changes of the state service, so ended tasks are not reaped; a guest's array of 25,000 short tasks makes a report too long, and it is refused.

--- a/review/standins/cloud.py
+++ b/review/standins/cloud.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from review.standins.http import Client, Reply, serve
+from review.standins.http import Client, Reply, compact_json, serve
 from review.standins.record import Record
 
 REPORT_GAP_S = 0.5  # at least, between two reports
@@ -106,9 +106,12 @@
             self._changed.clear()
             sent_at, shift = time.monotonic(), self.shift
             _, address = self.cloud.nodes[self._node]
+            report = self.report()
             status, data = await self.cloud.client.call(
-                address, "POST", "/v1/report", self.report(), REPORT_TIMEOUT_S
+                address, "POST", "/v1/report", report, REPORT_TIMEOUT_S
             )
+            if status not in (0, 200, 421, 503):
+                self.cloud.refused(self, status, len(compact_json(report)))
             if status == 200:
                 self._accept(data, sent_at, shift)
                 await asyncio.sleep(REPORT_GAP_S)
@@ -173,7 +176,8 @@
         for order in orders:
             key = (order["piece"], order["try"])
             task = self.tasks.get(key)
-            self.cloud.record.write("command", machine=self.machine.id, order=order)
+            if self.cloud.records_commands:
+                self.cloud.record.write("command", machine=self.machine.id, order=order)
             if order["verb"] == "start":
                 if task is None:
                     self._start(*key)
@@ -267,7 +271,9 @@
     left: Callable[[Worker, Task, str], None] = lambda *_: None
     cause: Callable[[Task], str] = lambda *_: "done"  # how a task ends by itself
     deleting: Callable[[str, str], None] = lambda *_: None  # sender, machine
-    refuses_hires: bool = False
+    records_commands: bool = True
+    capacity: dict[tuple[str, str, bool], int] | None = None  # by type, zone, spot; None: no limit
+    refused: Callable[[Worker, int, int], None] = lambda *_: None  # a report: status, bytes
     _hires: dict[str, list[str]] = field(default_factory=dict)
     _stages: dict[str, str] = field(default_factory=dict)
     _machines: dict[str, Machine] = field(default_factory=dict)
@@ -353,11 +359,11 @@
 
     def _hire(self, label: str, body: dict[str, Any]) -> Reply:
         if body["hire"] not in self._hires:
-            if self.refuses_hires:
+            count = min(body["count"], self._free(body["build"], body["yard"], body["loaners"]))
+            if count < 1:
                 return 503, {"error": "no capacity"}
             machines = [
-                self._create(body["build"], body["yard"], body["loaners"])
-                for _ in range(body["count"])
+                self._create(body["build"], body["yard"], body["loaners"]) for _ in range(count)
             ]
             self._hires[body["hire"]] = [machine.id for machine in machines]
             self.record.write("hire", by=label, request=body, machines=self._hires[body["hire"]])
@@ -365,6 +371,14 @@
                 self._spawn(self._boot_later(machine))
         return 200, {"spindles": self._hires[body["hire"]]}
 
+    def _free(self, build: str, yard: str, loaners: bool) -> int:
+        """How many more machines of this kind there are."""
+        kind = (build, yard, loaners)
+        if self.capacity is None:
+            return 50
+        used = sum((m.build, m.yard, m.loaners) == kind for m in self._machines.values())
+        return self.capacity.get(kind, 0) - used
+
     def _delete(self, label: str, names: list[str]) -> Reply:
         for name in names:
             worker = self.workers.get(name)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import shlex
+import shutil
 import signal
 import subprocess
 import tempfile
@@ -204,6 +205,8 @@
             worker.stop()
         for address in self._reserved:
             address.release()
+        if "KEEP_LOGS" not in os.environ:
+            shutil.rmtree(self.directory)
         await self.client.close()
 
     def leader(self) -> Node:
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -25,6 +25,7 @@
         self._bound.bind(("127.0.0.1", 0))
 
     def __str__(self) -> str:
+        """The address."""
         return f"127.0.0.1:{self._bound.getsockname()[1]}"
 
     def release(self) -> None:
@@ -50,11 +51,16 @@
     return f"{host}:{port}"
 
 
+def compact_json(data: Any) -> str:
+    """JSON without spaces."""
+    return json.dumps(data, separators=(",", ":"))
+
+
 class Client:
     """Sends requests; a request without a response has status 0."""
 
     def __init__(self) -> None:
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(json_serialize=compact_json)
 
     async def call(
         self, address: str, method: str, path: str, body: Any = None, timeout_s: float = 2.0
