--- a/review/standins/runner.py
+++ b/review/standins/runner.py
@@ -9,7 +9,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # whether the case has its disruption
 TIME_LIMIT_S = 110.0
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+# Not 1, which is also the code of an exception; `run.sh` maps them.
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2
 
 
 class Case(Protocol):
