--- a/review/standins-2/machines.py
+++ b/review/standins-2/machines.py
@@ -14,6 +14,7 @@
 REPORT_TIMEOUT_S = 4.0
 MIN_REPORT_GAP_S = 0.5
 LEASE_CHECK_S = 0.05
+MISTAKE_SHOWS_S = 0.5
 
 
 @dataclass
@@ -98,6 +99,7 @@
     nodes: list[tuple[str, str]] = field(default_factory=list)  # label, public address
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # uploaded descriptions
     run_s: dict[str, float] = field(default_factory=dict)  # true run time by job
+    mistaken: set[str] = field(default_factory=set)  # jobs that fail on every machine
     progress: dict[str, float] = field(default_factory=dict)  # saved, by task
     results: set[str] = field(default_factory=set)  # tasks with a result
     runs: list[Run] = field(default_factory=list)
@@ -334,6 +336,10 @@
         )
         self.world.record(f"{self.name}: {piece.task} try {piece.attempt} runs")
         self.change()
+        if job["id"] in self.world.mistaken:
+            await asyncio.sleep(MISTAKE_SHOWS_S)
+            self._end(piece, "error")
+            return
         every, began = job["markEveryS"], time.monotonic()
         saved = self.world.progress.get(piece.task, 0.0)
         total = self.world.run_s.get(job["id"], job["expectS"])
