What is known about an attempt's starts has one type, StartDelivery

Three fields of Attempt, and conditions on them in four files, said whether a start may still take effect. They are now one type with named transitions (jobs/start_delivery.py), and MachineTable.end_attempt is the one place that chooses between releasing and stopping an attempt. In the next incarnation a start may be sent to the worker's address again; otherwise the behaviour is unchanged.

--- a/spoolcourse/control/autoscaling/replica_places.py
+++ b/spoolcourse/control/autoscaling/replica_places.py
@@ -75,7 +75,7 @@
         for attempt in machine.attempts.values()
         if attempt.job_state.record.submission.is_service
         and not attempt.job_state.record.cancelled
-        and not attempt.never_sent
+        and not attempt.cannot_start
     ]
 
 
--- a/spoolcourse/control/jobs/model.py
+++ b/spoolcourse/control/jobs/model.py
@@ -17,8 +17,9 @@
 from enum import Enum
 from typing import NamedTuple
 
+from spoolcourse.control.jobs.start_delivery import StartDelivery
 from spoolcourse.control.store.records import JobRecord, Progress
-from spoolcourse.wire.identities import ChunkId, HeartbeatId
+from spoolcourse.wire.identities import ChunkId
 from spoolcourse.wire.messages import TaskStage, task_name
 
 UNLIMITED_HELD_TASKS = sys.maxsize  # only the chunk size limits the held tasks of a chunk
@@ -53,13 +54,7 @@
     chunk_version: int  # a version of its chunk that contains the attempt
     stage_since: float  # when `stage` began, in seconds of the monotonic clock
     stage: AttemptStage = AttemptStage.ASSIGNED
-    # The heartbeat whose response carried the start command; None again once that response is
-    # known not to have arrived.
-    start_heartbeat_id: HeartbeatId | None = None
-    sent_directly: bool = False  # the start was sent to the machine's address
-    # The machine's incarnation to which a directly sent start may still be on its way; None if no
-    # such start is.
-    in_flight_incarnation: int | None = None
+    start: StartDelivery = field(default_factory=StartDelivery)
     # The first task of a starved job, placed before all ranks: it is not preempted.
     exempt_from_preemption: bool = False
     stopping: bool = False  # the leader has decided to stop it
@@ -76,13 +71,9 @@
         return self.stage is AttemptStage.RUNNING or self.stage is AttemptStage.SAVING
 
     @property
-    def never_sent(self) -> bool:
-        """Whether no start command for the attempt has arrived or may still arrive."""
-        return (
-            self.stage is AttemptStage.ASSIGNED
-            and self.start_heartbeat_id is None
-            and self.in_flight_incarnation is None
-        )
+    def cannot_start(self) -> bool:
+        """Whether no start command has taken effect, and none that was sent still can."""
+        return self.stage is AttemptStage.ASSIGNED and not self.start.may_take_effect
 
     @property
     def is_persisted(self) -> bool:
--- a/spoolcourse/control/leader/job_changes.py
+++ b/spoolcourse/control/leader/job_changes.py
@@ -55,9 +55,6 @@
             return
         job_state.cancelled_known_at = self._clock()
         for attempt in list(job_state.attempts.values()):
-            if attempt.never_sent:
-                self._registry.release_attempt(attempt)  # its start is never sent
-            else:
-                self._registry.request_stop(attempt)
+            self._registry.end_attempt(attempt)
         self._command_dispatcher.wake.set()
         self._job_queue.queue_final_state_if_finished(job_state)
--- a/spoolcourse/control/scheduling/preemption.py
+++ b/spoolcourse/control/scheduling/preemption.py
@@ -43,8 +43,5 @@
                 attempt.number,
                 attempt.machine,
             )
-            if attempt.never_sent:
-                self._registry.release_attempt(attempt)
-            else:
-                self._registry.request_stop(attempt)
-                self._command_dispatcher.wake.set()
+            self._registry.end_attempt(attempt)
+        self._command_dispatcher.wake.set()
--- a/spoolcourse/control/scheduling/termination_notices.py
+++ b/spoolcourse/control/scheduling/termination_notices.py
@@ -45,7 +45,7 @@
         for attempt in list(machine.attempts.values()):
             if attempt.stopping:
                 continue
-            if attempt.never_sent:
+            if attempt.cannot_start:
                 self._registry.release_attempt(attempt)
             elif attempt.stage is not AttemptStage.ASSIGNED and self._must_stop(
                 attempt, remaining_s
--- a/spoolcourse/control/status.py
+++ b/spoolcourse/control/status.py
@@ -159,9 +159,7 @@
         replicas_missing=sum(job.pending_count for job in services),
         attempts=len(attempts),
         unproven_attempts=sum(
-            1
-            for a in attempts
-            if a.stage is AttemptStage.OPEN or a.in_flight_incarnation is not None
+            1 for a in attempts if a.stage is AttemptStage.OPEN or a.start.call_may_take_effect
         ),
         image_fetches=sum(len(machine.image_fetch_started_at) for machine in machines),
         machines=len(machines),
--- a/spoolcourse/control/workers/command_builder.py
+++ b/spoolcourse/control/workers/command_builder.py
@@ -5,12 +5,13 @@
 from collections.abc import Callable, Container
 
 from spoolcourse.control.jobs.model import Attempt, AttemptStage, JobState
+from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.leadership.failover_timeline import FailoverPhase
 from spoolcourse.control.workers.leader_interface import Leader
 from spoolcourse.control.workers.machine import Machine
 from spoolcourse.control.workers.machine_table import MachineTable
 from spoolcourse.wire.commands import Acknowledge, Command, Start, Stop
-from spoolcourse.wire.identities import AttemptId, HeartbeatId, TaskId
+from spoolcourse.wire.identities import AttemptId, TaskId
 from spoolcourse.wire.messages import EndCause, Heartbeat, TaskStage, TaskStatus, parse_task_name
 
 MAX_COMMANDS_PER_MESSAGE = 300  # keeps a message well below 64 KiB
@@ -79,7 +80,7 @@
         cancelled = [
             attempt
             for attempt in machine.attempts.values()
-            if attempt.job_state.record.cancelled and not attempt.never_sent
+            if attempt.job_state.record.cancelled and not attempt.cannot_start
         ]
         if not cancelled:
             return []
@@ -97,7 +98,7 @@
             if len(commands) >= MAX_COMMANDS_PER_MESSAGE:
                 return
             if attempt.stage is AttemptStage.ASSIGNED and _is_startable(attempt):
-                attempt.start_heartbeat_id = HeartbeatId(heartbeat.incarnation, heartbeat.sequence)
+                attempt.start.sent_in_response(heartbeat.id)
                 self._leader.record_failover_phase(FailoverPhase.FIRST_START)
                 commands.append(Start(attempt.name, attempt.number))
 
@@ -161,8 +162,7 @@
         if attempts:
             self._leader.record_failover_phase(FailoverPhase.FIRST_START)
         for attempt in attempts:
-            attempt.sent_directly = True
-            attempt.in_flight_incarnation = machine.incarnation
+            attempt.start.call_begins(machine.incarnation)
         return attempts
 
     def _may_acknowledge(self, machine: Machine, task_id: TaskId, status: TaskStatus) -> bool:
@@ -214,7 +214,7 @@
 
 def _needs_direct_start(attempt: Attempt) -> bool:
     """Whether the attempt's start must still be sent, now or once its record is durable."""
-    return attempt.stage is AttemptStage.ASSIGNED and not attempt.sent_directly
+    return attempt.stage is AttemptStage.ASSIGNED and attempt.start.call_state is CallState.NOT_SENT
 
 
 def _can_start_directly(attempt: Attempt) -> bool:
--- a/spoolcourse/control/workers/command_dispatcher.py
+++ b/spoolcourse/control/workers/command_dispatcher.py
@@ -2,7 +2,7 @@
 
 A command sent to a machine's address may be executed minutes late. A start without a response may
 therefore take effect until the worker's incarnation or this term ends
-(`Attempt.in_flight_incarnation`). Each command is sent to the address once; if the call fails,
+(`StartDelivery`). Each command is sent to the address once; if the call fails,
 heartbeat responses carry the command.
 """
 
@@ -12,12 +12,13 @@
 import logging
 
 from spoolcourse.control.http_client import HttpClient, NoResponseError
+from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.workers.call_limit import concurrent_call_limit
 from spoolcourse.control.workers.machine import Machine
 from spoolcourse.control.workers.worker_client import WorkerIncarnation, send_commands
 from spoolcourse.control.workers.worker_registry import WorkerRegistry
-from spoolcourse.wire.commands import Start
-from spoolcourse.wire.messages import MalformedError
+from spoolcourse.wire.commands import Command, Start
+from spoolcourse.wire.messages import Heartbeat, MalformedError
 
 log = logging.getLogger(__name__)
 
@@ -83,8 +84,19 @@
         commands = self._registry.command_builder.claim_stops(machine) + [
             Start(attempt.name, attempt.number) for attempt in attempts
         ]
+        heartbeat = await self._call(machine, incarnation, commands)
+        is_answered = heartbeat is not None and heartbeat.machine == machine.id
+        for attempt in attempts:
+            attempt.start.call_ends(CallState.ANSWERED if is_answered else CallState.UNANSWERED)
+        if heartbeat is not None and is_answered:
+            self._registry.observe_heartbeat(heartbeat)
+
+    async def _call(
+        self, machine: Machine, incarnation: WorkerIncarnation, commands: list[Command]
+    ) -> Heartbeat | None:
+        """Send commands; return the worker's heartbeat, or None if there was no valid response."""
         try:
-            heartbeat = await send_commands(
+            return await send_commands(
                 self._http_client,
                 self._registry.proof,
                 incarnation,
@@ -102,8 +114,4 @@
                 len(commands),
                 exc,
             )
-            return
-        if heartbeat.machine == machine.id:
-            for attempt in attempts:
-                attempt.in_flight_incarnation = None
-            self._registry.observe_heartbeat(heartbeat)
+            return None
--- a/spoolcourse/control/workers/machine.py
+++ b/spoolcourse/control/workers/machine.py
@@ -128,7 +128,7 @@
 
     def is_newer(self, heartbeat: Heartbeat) -> bool:
         """Whether the heartbeat is newer than the latest one known (PROTOCOL, `tick`)."""
-        return (heartbeat.incarnation, heartbeat.sequence) > (self.incarnation, self.sequence)
+        return heartbeat.id > (self.incarnation, self.sequence)
 
     # -- transitions -------------------------------------------------------------------------
 
--- a/spoolcourse/control/workers/machine_table.py
+++ b/spoolcourse/control/workers/machine_table.py
@@ -75,6 +75,13 @@
         self.ensure_machine(attempt.machine).change_count += 1
         self.machines_with_unsent_commands.add(attempt.machine)
 
+    def end_attempt(self, attempt: Attempt) -> None:
+        """Release an attempt that can't start any more; have any other one stopped."""
+        if attempt.cannot_start:
+            self.release_attempt(attempt)
+        else:
+            self.request_stop(attempt)
+
     def release_attempt(self, attempt: Attempt) -> None:
         """Remove an attempt that is proven gone."""
         machine = self.machines.get(attempt.machine)
--- a/spoolcourse/control/workers/reconciliation.py
+++ b/spoolcourse/control/workers/reconciliation.py
@@ -128,8 +128,8 @@
             machine.id,
             cause,
         )
-        if attempt.in_flight_incarnation is not None or (
-            attempt.sent_directly and cause != EndCause.DONE
+        if attempt.start.call_may_take_effect or (
+            attempt.start.may_be_repeated and cause != EndCause.DONE
         ):
             # A copy of the start may still be in flight to the worker's address. The copy has no
             # effect while the worker remembers the attempt, but would start the attempt again once
@@ -210,9 +210,6 @@
 
     def _reconcile_unlisted(self, machine: Machine, attempt: Attempt, heartbeat: Heartbeat) -> None:
         """Release an attempt that the heartbeat does not list, if it is thereby proven gone."""
-        if attempt.in_flight_incarnation != heartbeat.incarnation:
-            # The direct start was for another incarnation, so this worker rejects it.
-            attempt.in_flight_incarnation = None
         if attempt.stage is not AttemptStage.ASSIGNED:
             log.info(
                 "attempt gone: task=%s attempt=%d machine=%s",
@@ -222,23 +219,17 @@
             )
             self._machines.release_attempt(attempt)
             return
-        start_heartbeat_id = attempt.start_heartbeat_id
-        if start_heartbeat_id is not None and start_heartbeat_id >= (
-            heartbeat.incarnation,
-            heartbeat.sequence,
-        ):
-            return
-        attempt.start_heartbeat_id = None  # that start did not arrive and no longer can
+        attempt.start.on_newer_heartbeat_without_attempt(heartbeat.id)
         should_not_start = (
             attempt.job_state.record.cancelled or attempt.stopping or machine.is_unresponsive
         )
-        if should_not_start and attempt.in_flight_incarnation is None:
+        if should_not_start and attempt.cannot_start:
             self._machines.release_attempt(attempt)
 
 
 def _is_start_unconfirmed(attempt: Attempt) -> bool:
     """Whether a response carried the start, so that the next heartbeat should list the attempt."""
-    return attempt.stage is AttemptStage.ASSIGNED and attempt.start_heartbeat_id is not None
+    return attempt.stage is AttemptStage.ASSIGNED and attempt.start.response_to is not None
 
 
 def _needs_attempt(job_state: JobState, task: int) -> bool:
--- a/spoolcourse/control/workers/worker_registry.py
+++ b/spoolcourse/control/workers/worker_registry.py
@@ -118,10 +118,7 @@
         """Process a machine's own heartbeat that is refused: the response renews no lease."""
         self.observe_heartbeat(heartbeat)
         machine = self.machines.get(heartbeat.machine)
-        if machine is not None and (heartbeat.incarnation, heartbeat.sequence) == (
-            machine.incarnation,
-            machine.sequence,
-        ):
+        if machine is not None and heartbeat.id == (machine.incarnation, machine.sequence):
             machine.last_own_heartbeat_at = self._clock()
 
     def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/spoolcourse/wire/messages.py
+++ b/spoolcourse/wire/messages.py
@@ -15,7 +15,7 @@
 import msgspec
 import orjson
 
-from spoolcourse.wire.identities import TaskId
+from spoolcourse.wire.identities import HeartbeatId, TaskId
 
 T = TypeVar("T")
 
@@ -173,6 +173,11 @@
     # Time until the cloud reclaims the spot machine; None: no termination notice.
     terminates_in_s: float | None = msgspec.field(name="recallS", default=None)
 
+    @property
+    def id(self) -> HeartbeatId:
+        """The heartbeat's place in the order of the worker's heartbeats."""
+        return HeartbeatId(self.incarnation, self.sequence)
+
 
 class MachineType(msgspec.Struct, frozen=True):
     """A machine type of the cloud's catalog."""
--- a/tests/workers/test_worker_registry.py
+++ b/tests/workers/test_worker_registry.py
@@ -5,6 +5,7 @@
 import pytest
 
 from spoolcourse.control.jobs.model import AttemptStage
+from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.store.records import Assignment, Progress
 from spoolcourse.wire.messages import MalformedError, parse_heartbeat
 from tests.fakes.registry import TERM, RegistryHarness, task_entry
@@ -32,7 +33,7 @@
     assert harness.heartbeat() == [START]
     assert harness.heartbeat(tick=1) is None, "a late copy of a heartbeat was processed"
     harness.sequence -= 1
-    assert attempt.start_heartbeat_id == (1, 2)
+    assert attempt.start.response_to == (1, 2)
     assert harness.heartbeat() == [START], "the start is not repeated, although it never arrived"
     assert harness.heartbeat(task_entry()) == []
     assert attempt.stage is AttemptStage.RUNNING
@@ -178,7 +179,7 @@
     # The direct call that sends the start is answered, but the network may deliver a copy of it
     # later.
     harness.registry.command_builder.claim_starts(harness.registry.machines["m-1"])
-    attempt.in_flight_incarnation = None
+    attempt.start.call_ends(CallState.ANSWERED)
     harness.heartbeat(task_entry())
     assert harness.heartbeat(task_entry(stage="ended", cause="halted")) == []
     harness.mark_persisted()
