An attempt that is to end is released although its direct start got no answer

Cause: a call without an answer may be executed late, so the attempt stays assigned until the worker lists it. A stopped attempt got no further start, so it was never listed, and kept its task and room until incarnation or term ended. The same on a machine with a termination notice.

Change: the HTTP client says whether a call had a connection; without one the start was not sent. For other calls without an answer a heartbeat response carries the start with a stop behind it, so that the worker lists the attempt as ended and ignores the late call. Not for cancelled jobs: none of their tasks may be started.

--- a/spoolcourse/control/http_client.py
+++ b/spoolcourse/control/http_client.py
@@ -12,6 +12,7 @@
 import urllib.request  # noqa: F401  loads `ssl` before the block below hides it
 from asyncio import selector_events
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import Any, Protocol
 
 import orjson
@@ -46,6 +47,13 @@
     """
 
 
+class NotConnectedError(NoResponseError):
+    """No connection was made, so the request was not sent and is never executed.
+
+    A connection attempt that was given up does not complete later (PROTOCOL, Delayed messages).
+    """
+
+
 @dataclass(frozen=True, slots=True)
 class Response:
     """A response; `data` is its decoded JSON body or, on the server side, the value to encode."""
@@ -92,6 +100,7 @@
         `keep_alive`: the connection may stay open for the next call to this address.
 
         Raises:
+            NotConnectedError: There was no connection, so the request was not sent.
             NoResponseError: The request timed out, or the connection failed.
         """
         ...
@@ -128,6 +137,27 @@
         return None
 
 
+@dataclass(slots=True)
+class _CallProgress:
+    """How far a call has come; aiohttp's tracing reports it."""
+
+    connected: bool = False  # a connection was opened or reused, so the request may be sent
+
+
+def _connection_tracing() -> aiohttp.TraceConfig:
+    """Return a tracing that records in a call's `_CallProgress` that it has a connection."""
+
+    async def on_connected(
+        _session: aiohttp.ClientSession, context: SimpleNamespace, _params: object
+    ) -> None:
+        context.trace_request_ctx.connected = True
+
+    tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_end.append(on_connected)
+    tracing.on_connection_reuseconn.append(on_connected)
+    return tracing
+
+
 class AiohttpClient:
     """An `HttpClient` with one pooled aiohttp session, opened on the first call."""
 
@@ -146,7 +176,10 @@
                 use_dns_cache=False,
             )
             self._session = aiohttp.ClientSession(
-                connector=connector, auto_decompress=False, cookie_jar=aiohttp.DummyCookieJar()
+                connector=connector,
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                trace_configs=[_connection_tracing()],
             )
         return self._session
 
@@ -161,6 +194,7 @@
     ) -> Response:
         """See `HttpClient.call`."""
         encoded_body = _encode(body)
+        progress = _CallProgress()
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._open_session().request(
@@ -169,12 +203,14 @@
                     data=encoded_body,
                     allow_redirects=False,
                     headers=_HEADERS[encoded_body is not None, keep_alive],
+                    trace_request_ctx=progress,
                 ) as response:
                     response_body = await response.read()
                     return Response(response.status, _decode(response_body), dict(response.headers))
         except (TimeoutError, aiohttp.ClientError, OSError, ValueError) as exc:
             reason = _failure_reason(exc, timeout_s)
-            raise NoResponseError(f"{method} {address}{path}: {reason}") from exc
+            error = NoResponseError if progress.connected else NotConnectedError
+            raise error(f"{method} {address}{path}: {reason}") from exc
 
     async def close(self) -> None:
         """Close all connections."""
--- a/spoolcourse/control/jobs/start_delivery.py
+++ b/spoolcourse/control/jobs/start_delivery.py
@@ -52,6 +52,11 @@
         """Whether a call to the worker's address is in progress, or got no answer."""
         return self.call_state in (CallState.IN_PROGRESS, CallState.UNANSWERED)
 
+    @property
+    def is_lost(self) -> bool:
+        """Whether a call got no answer, and no response that may arrive carries the start."""
+        return self.call_state is CallState.UNANSWERED and self.response_to is None
+
     @property
     def may_be_repeated(self) -> bool:
         """Whether a copy of a call may start the attempt if the worker has forgotten it."""
--- a/spoolcourse/control/scheduling/termination_notices.py
+++ b/spoolcourse/control/scheduling/termination_notices.py
@@ -45,15 +45,20 @@
         for attempt in list(machine.attempts.values()):
             if attempt.stopping:
                 continue
-            if attempt.cannot_start:
-                self._registry.release_attempt(attempt)
-            elif attempt.stage is not AttemptStage.ASSIGNED and self._must_stop(
-                attempt, remaining_s
-            ):
-                self._registry.request_stop(attempt)
+            if self._must_end(attempt, remaining_s):
+                self._registry.end_attempt(attempt)
+
+    def _must_end(self, attempt: Attempt, remaining_s: float) -> bool:
+        """Whether the attempt must end now, as its machine terminates in `remaining_s`.
+
+        The machine gets no further starts, so an attempt whose start was lost would wait there.
+        """
+        if attempt.stage is AttemptStage.ASSIGNED:
+            return attempt.cannot_start or attempt.start.is_lost
+        return self._must_stop(attempt, remaining_s)
 
     def _must_stop(self, attempt: Attempt, remaining_s: float) -> bool:
-        """Whether to stop the attempt now, as its machine terminates in `remaining_s`.
+        """Whether to stop an attempt that its machine has reported.
 
         A task with checkpoints is stopped when there is just time left for a last checkpoint, a
         task without them as soon as it is expected not to finish in time.
--- a/spoolcourse/control/workers/command_builder.py
+++ b/spoolcourse/control/workers/command_builder.py
@@ -41,9 +41,11 @@
         urgent, others = self._commands_for_reported_attempts(machine, heartbeat, has_current_token)
         urgent += self._stops_of_unlisted_cancelled(machine, heartbeat)
         commands = urgent + others
-        if has_current_token:
+        commands = commands[:MAX_COMMANDS_PER_MESSAGE]
+        if has_current_token and self._leader.holds_lease():
+            self._add_starts_with_stops(machine, heartbeat, commands)
             self._add_starts(machine, heartbeat, commands)
-        return commands[:MAX_COMMANDS_PER_MESSAGE]
+        return commands
 
     def _commands_for_reported_attempts(
         self, machine: Machine, heartbeat: Heartbeat, has_current_token: bool
@@ -91,8 +93,29 @@
             if (attempt.job_state.id, attempt.task) not in listed
         ]
 
+    def _add_starts_with_stops(
+        self, machine: Machine, heartbeat: Heartbeat, commands: list[Command]
+    ) -> None:
+        """Add starts, each with a stop behind it, of attempts that a late call may still start.
+
+        An unanswered call may be executed as long as the worker does not know the attempt, and the
+        leader must not release an attempt that may still start. After these two commands the worker
+        lists it as ended: that ends the wait, and a late call has no effect any more. Attempts of
+        cancelled jobs are excluded, as none of them may be started.
+        """
+        if not machine.is_in_service:
+            return
+        for attempt in machine.attempts.values():
+            if not _needs_start_with_stop(attempt):
+                continue
+            if len(commands) + 2 > MAX_COMMANDS_PER_MESSAGE:
+                return
+            attempt.start.sent_in_response(heartbeat.id)
+            commands.append(Start(attempt.name, attempt.number))
+            commands.append(Stop(attempt.name, attempt.number, 0.0))
+
     def _add_starts(self, machine: Machine, heartbeat: Heartbeat, commands: list[Command]) -> None:
-        if not (self._leader.holds_lease() and machine.is_schedulable):
+        if not machine.is_schedulable:
             return
         for attempt in machine.attempts.values():
             if len(commands) >= MAX_COMMANDS_PER_MESSAGE:
@@ -222,6 +245,16 @@
     return _needs_direct_start(attempt) and _is_startable(attempt)
 
 
+def _needs_start_with_stop(attempt: Attempt) -> bool:
+    """Whether the attempt is being stopped, but an unanswered call may still start it."""
+    return (
+        attempt.stopping
+        and attempt.stage is AttemptStage.ASSIGNED
+        and attempt.start.call_state is CallState.UNANSWERED
+        and not attempt.job_state.record.cancelled
+    )
+
+
 def _is_startable(attempt: Attempt) -> bool:
     """Whether the attempt is recorded durably and is neither stopping nor cancelled."""
     return attempt.is_persisted and not attempt.stopping and not attempt.job_state.record.cancelled
--- a/spoolcourse/control/workers/command_dispatcher.py
+++ b/spoolcourse/control/workers/command_dispatcher.py
@@ -1,17 +1,18 @@
 """Sends starts and stops to workers' addresses without waiting for their next heartbeats.
 
 A command sent to a machine's address may be executed minutes late. A start without a response may
-therefore take effect until the worker's incarnation or this term ends
-(`StartDelivery`). Each command is sent to the address once; if the call fails,
-heartbeat responses carry the command.
+therefore take effect until the worker's incarnation or this term ends (`StartDelivery`). Each
+command is sent to the address once, unless there was no connection; after a failed call heartbeat
+responses carry the command.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+from dataclasses import dataclass
 
-from spoolcourse.control.http_client import HttpClient, NoResponseError
+from spoolcourse.control.http_client import HttpClient, NoResponseError, NotConnectedError
 from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.workers.call_limit import concurrent_call_limit
 from spoolcourse.control.workers.machine import Machine
@@ -27,6 +28,14 @@
 RESERVED_SOCKET_FRACTION = 0.15  # of the sockets, for users, peers and calls in progress
 
 
+@dataclass(frozen=True, slots=True)
+class _CallResult:
+    """How a call ended, and the heartbeat of the machine if it was answered."""
+
+    state: CallState
+    heartbeat: Heartbeat | None = None
+
+
 class CommandDispatcher:
     """Sends pending commands to machines' addresses, one request per machine at a time."""
 
@@ -84,19 +93,19 @@
         commands = self._registry.command_builder.claim_stops(machine) + [
             Start(attempt.name, attempt.number) for attempt in attempts
         ]
-        heartbeat = await self._call(machine, incarnation, commands)
-        is_answered = heartbeat is not None and heartbeat.machine == machine.id
+        result = await self._call(machine, incarnation, commands)
         for attempt in attempts:
-            attempt.start.call_ends(CallState.ANSWERED if is_answered else CallState.UNANSWERED)
-        if heartbeat is not None and is_answered:
-            self._registry.observe_heartbeat(heartbeat)
+            attempt.start.call_ends(result.state)
+        if result.state is CallState.NOT_SENT:
+            self._registry.machines_with_unsent_commands.add(machine.id)
+        if result.heartbeat is not None:
+            self._registry.observe_heartbeat(result.heartbeat)
 
     async def _call(
         self, machine: Machine, incarnation: WorkerIncarnation, commands: list[Command]
-    ) -> Heartbeat | None:
-        """Send commands; return the worker's heartbeat, or None if there was no valid response."""
+    ) -> _CallResult:
         try:
-            return await send_commands(
+            heartbeat = await send_commands(
                 self._http_client,
                 self._registry.proof,
                 incarnation,
@@ -114,4 +123,8 @@
                 len(commands),
                 exc,
             )
-            return None
+            is_unsent = isinstance(exc, NotConnectedError)
+            return _CallResult(CallState.NOT_SENT if is_unsent else CallState.UNANSWERED)
+        if heartbeat.machine != machine.id:  # another machine may have the address now
+            return _CallResult(CallState.UNANSWERED)
+        return _CallResult(CallState.ANSWERED, heartbeat)
--- a/spoolcourse/control/workers/worker_client.py
+++ b/spoolcourse/control/workers/worker_client.py
@@ -65,6 +65,7 @@
     """Send commands and return the worker's heartbeat, whether they were executed or refused.
 
     Raises:
+        NotConnectedError: The commands were not sent, and are never executed.
         NoResponseError: No valid response; the commands may be executed later (PROTOCOL, Delayed
             messages).
         MalformedError: Likewise.
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -9,19 +9,23 @@
 
 import orjson
 
-from spoolcourse.control.http_client import NoResponseError, Response
+from spoolcourse.control.http_client import NoResponseError, NotConnectedError, Response
 from tests.fakes.clock import spawn
 
 Endpoint = Callable[[str, str, Any], Awaitable[Response]]
 Filter = Callable[[str, str, str, str, Any], str | None]
 
 
+FAILURES_AT_ONCE = {"refused": NotConnectedError, "reset": NoResponseError}  # by verdict
+
+
 class FakeNetwork:
     """Delivers requests between hosts.
 
-    A filter may return `cut` (not delivered), `lose` (executed, reply lost), `hold` (delivered
-    when `release` is called, long after the caller's timeout), `late` (delivered after one of
-    `late_delays_s` in turn), `404` or `503`.
+    A filter may return `cut` (not delivered, although the connection may have been made), `refused`
+    (no connection), `reset` (the connection fails at once, not delivered), `lose` (executed, reply
+    lost), `hold` (delivered when `release` is called, long after the caller's timeout), `late`
+    (delivered after one of `late_delays_s` in turn), `404` or `503`.
     """
 
     def __init__(self, delay_s: float = 0.002) -> None:
@@ -48,6 +52,8 @@
         verdict = self.verdict(src, dst, method, path, body)
         if verdict in ("404", "503"):
             return Response(int(verdict), {"error": "injected fault"})
+        if verdict in FAILURES_AT_ONCE:
+            raise FAILURES_AT_ONCE[verdict](f"{src} -> {dst}: {verdict}")
         if verdict == "hold":
             self.held.append((dst, method, path, body))
         if verdict == "late":
--- /dev/null
+++ b/tests/workers/test_lost_starts.py
@@ -0,0 +1,83 @@
+"""Starts that got no answer: when the attempt is released, and which commands the worker gets."""
+
+from __future__ import annotations
+
+import pytest
+
+from spoolcourse.control.jobs.model import Attempt
+from spoolcourse.control.jobs.start_delivery import CallState
+from spoolcourse.control.workers.command_builder import MAX_COMMANDS_PER_MESSAGE
+from tests.fakes.registry import RegistryHarness, task_entry
+
+START = {"verb": "start", "piece": "job-000001/0", "try": 1}
+STOP = {"verb": "halt", "piece": "job-000001/0", "try": 1, "windDownS": 0.0}
+
+
+def harness_after_call(state: CallState) -> tuple[RegistryHarness, Attempt]:
+    """A machine with an attempt whose direct start ended in this state."""
+    harness = RegistryHarness()
+    harness.heartbeat()
+    attempt = harness.assign()
+    machine = harness.registry.machines["m-1"]
+    assert harness.registry.command_builder.claim_starts(machine) == [attempt]
+    attempt.start.call_ends(state)
+    return harness, attempt
+
+
+def test_an_attempt_whose_call_was_never_sent_is_released_at_once() -> None:
+    harness, attempt = harness_after_call(CallState.NOT_SENT)
+    harness.registry.end_attempt(attempt)
+    assert not harness.job_state.attempts
+
+
+def test_an_attempt_whose_call_was_not_answered_is_started_and_stopped_to_end_it() -> None:
+    # It stayed assigned for good, and its room with it: a stopped attempt got no further start, so
+    # that no heartbeat could ever list it.
+    harness, attempt = harness_after_call(CallState.UNANSWERED)
+    harness.registry.end_attempt(attempt)
+    assert harness.job_state.attempts, "released, although the call may still be executed"
+    assert harness.heartbeat() == [START, STOP]
+    assert harness.heartbeat() == [START, STOP], "not repeated, although it had no effect"
+    ended = task_entry(stage="ended", cause="halted")
+    assert harness.heartbeat(ended) == [], "acknowledged, although the call may still be executed"
+    assert not harness.job_state.attempts
+    assert harness.heartbeat(ended) == []
+
+
+@pytest.mark.parametrize("state", [CallState.IN_PROGRESS, CallState.ANSWERED])
+def test_no_start_is_sent_for_a_stopped_attempt_unless_its_call_failed(state: CallState) -> None:
+    harness, attempt = harness_after_call(state)
+    harness.registry.request_stop(attempt)
+    assert harness.heartbeat() == []
+
+
+def test_a_lost_start_of_a_cancelled_job_is_never_sent_again() -> None:
+    harness, attempt = harness_after_call(CallState.UNANSWERED)
+    harness.job_state.record.cancelled_at = 100.0
+    harness.registry.end_attempt(attempt)
+    assert harness.heartbeat() == [STOP]
+    assert harness.job_state.attempts, "released, although the call may still be executed"
+
+
+def test_a_lost_start_is_sent_only_under_a_valid_lease() -> None:
+    harness, attempt = harness_after_call(CallState.UNANSWERED)
+    harness.registry.end_attempt(attempt)
+    harness.lease_valid = False
+    assert harness.heartbeat() == []
+
+
+def test_a_message_that_is_full_never_has_a_start_without_its_stop() -> None:
+    harness = RegistryHarness(pieces=MAX_COMMANDS_PER_MESSAGE, vcpus=0.01)
+    harness.heartbeat()
+    attempts = [harness.assign(task) for task in range(MAX_COMMANDS_PER_MESSAGE)]
+    machine = harness.registry.machines["m-1"]
+    assert harness.registry.command_builder.claim_starts(machine) == attempts
+    for attempt in attempts:
+        attempt.start.call_ends(CallState.UNANSWERED)
+    for attempt in attempts[1:]:
+        harness.registry.end_attempt(attempt)
+    commands = harness.heartbeat() or []
+    started = [c["piece"] for c in commands if c["verb"] == "start"]
+    stopped = [c["piece"] for c in commands if c["verb"] == "halt"]
+    assert len(commands) == MAX_COMMANDS_PER_MESSAGE
+    assert started == stopped
