Only a worker's own heartbeat proves that the response to its last one was lost

Cause: any newer heartbeat without an attempt counted as proof that a start in an earlier response was lost. A worker has one own heartbeat in flight, but it also returns its heartbeat in answer to a call to its address, while that response is still under way. The attempt was then released and its task started on another machine.

Change: the registry says how a heartbeat reached the leader, and StartDelivery takes a response as lost only by a newer own heartbeat or by a later incarnation.

--- a/spoolcourse/control/jobs/start_delivery.py
+++ b/spoolcourse/control/jobs/start_delivery.py
@@ -23,6 +23,13 @@
 from spoolcourse.wire.identities import HeartbeatId
 
 
+class HeartbeatKind(Enum):
+    """How a heartbeat reached the leader."""
+
+    OWN = "own"  # sent by the worker itself, possibly relayed: it had no other one in flight
+    RETURNED_BY_CALL = "returned by call"  # a response to its own heartbeat may be under way
+
+
 class CallState(Enum):
     """The state of the call that carries a start to a worker's address."""
 
@@ -76,7 +83,9 @@
         if self.call_state is CallState.IN_PROGRESS:
             self.call_state = state
 
-    def on_newer_heartbeat_without_attempt(self, heartbeat_id: HeartbeatId) -> bool:
+    def on_newer_heartbeat_without_attempt(
+        self, heartbeat_id: HeartbeatId, kind: HeartbeatKind
+    ) -> bool:
         """Apply a newer heartbeat of the worker that does not list the attempt.
 
         Returns:
@@ -84,7 +93,16 @@
         """
         if self.call_incarnation != heartbeat_id.incarnation:
             self.call_state = CallState.NOT_SENT  # the worker rejects calls to the former one
-        if self.response_to is None or self.response_to >= heartbeat_id:
+        if self.response_to is None or not _ends_response(self.response_to, heartbeat_id, kind):
             return False
         self.response_to = None
         return True
+
+
+def _ends_response(
+    response_to: HeartbeatId, heartbeat_id: HeartbeatId, kind: HeartbeatKind
+) -> bool:
+    """Whether a heartbeat proves that an earlier response took effect or never will."""
+    if kind is HeartbeatKind.OWN:
+        return heartbeat_id > response_to
+    return heartbeat_id.incarnation > response_to.incarnation
--- a/spoolcourse/control/workers/reconciliation.py
+++ b/spoolcourse/control/workers/reconciliation.py
@@ -4,10 +4,7 @@
 unexpected: its result is accepted; while it runs, it is adopted if its task has no other attempt,
 and else stopped.
 
-A worker has one heartbeat in flight, executes a response within its timeout or never, and discards
-responses to earlier incarnations. So the next newer heartbeat under this term's fencing token
-proves whether a start in a response arrived. A start sent to the worker's address may arrive late,
-until the incarnation or the term ends (PROTOCOL, Delayed messages).
+Whether an attempt that is not listed may still start is decided in `jobs.start_delivery`.
 """
 
 from __future__ import annotations
@@ -16,6 +13,7 @@
 
 from spoolcourse.control.jobs.backoff import ARRAY_BACKOFF, REPLICA_BACKOFF, Backoff
 from spoolcourse.control.jobs.model import REPORTED_STAGES, Attempt, AttemptStage, JobState
+from spoolcourse.control.jobs.start_delivery import HeartbeatKind
 from spoolcourse.control.workers.leader_interface import Leader
 from spoolcourse.control.workers.machine import Machine
 from spoolcourse.control.workers.machine_table import MachineTable
@@ -47,17 +45,23 @@
         self._job_queue = machines.job_queue
         self._leader = leader
 
-    def reconcile(self, machine: Machine, heartbeat: Heartbeat, now: float) -> None:
+    def reconcile(
+        self, machine: Machine, heartbeat: Heartbeat, kind: HeartbeatKind, now: float
+    ) -> None:
         """Update a machine's attempts, image fetches and idle time from its heartbeat."""
         listed_tasks = self._reconcile_reported(machine, heartbeat, now)
-        if any(
-            _is_start_unconfirmed(attempt) and task_id not in listed_tasks
-            for task_id, attempt in machine.attempts.items()
-        ):
+        unlisted = [
+            attempt for task_id, attempt in machine.attempts.items() if task_id not in listed_tasks
+        ]
+        lost_starts = [
+            attempt.start.on_newer_heartbeat_without_attempt(heartbeat.id, kind)
+            for attempt in unlisted
+            if attempt.stage is AttemptStage.ASSIGNED
+        ]
+        if any(lost_starts):
             machine.count_ineffective_response(now)
-        for task_id, attempt in list(machine.attempts.items()):
-            if task_id not in listed_tasks:
-                self._reconcile_unlisted(machine, attempt, heartbeat)
+        for attempt in unlisted:
+            self._reconcile_unlisted(machine, attempt)
         _update_image_fetches(machine, now)
         if machine.attempts:
             machine.idle_since = None
@@ -208,7 +212,7 @@
 
     # -- attempts that the heartbeat does not list -------------------------------------------
 
-    def _reconcile_unlisted(self, machine: Machine, attempt: Attempt, heartbeat: Heartbeat) -> None:
+    def _reconcile_unlisted(self, machine: Machine, attempt: Attempt) -> None:
         """Release an attempt that the heartbeat does not list, if it is thereby proven gone."""
         if attempt.stage is not AttemptStage.ASSIGNED:
             log.info(
@@ -219,7 +223,6 @@
             )
             self._machines.release_attempt(attempt)
             return
-        attempt.start.on_newer_heartbeat_without_attempt(heartbeat.id)
         should_not_start = (
             attempt.job_state.record.cancelled or attempt.stopping or machine.is_unresponsive
         )
@@ -227,11 +230,6 @@
             self._machines.release_attempt(attempt)
 
 
-def _is_start_unconfirmed(attempt: Attempt) -> bool:
-    """Whether a response carried the start, so that the next heartbeat should list the attempt."""
-    return attempt.stage is AttemptStage.ASSIGNED and attempt.start.response_to is not None
-
-
 def _needs_attempt(job_state: JobState, task: int) -> bool:
     """Whether the task should run and has no attempt on any machine."""
     return (
--- a/spoolcourse/control/workers/worker_registry.py
+++ b/spoolcourse/control/workers/worker_registry.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from spoolcourse.control.jobs.job_queue import JobQueue
+from spoolcourse.control.jobs.start_delivery import HeartbeatKind
 from spoolcourse.control.leadership.failover_proof import FailoverProof
 from spoolcourse.control.leadership.failover_timeline import FailoverPhase
 from spoolcourse.control.leadership.renewal_deadline import MAX_RELATIVE_CLOCK_DRIFT
@@ -107,7 +108,7 @@
         machine = self.ensure_machine(heartbeat.machine)
         if not machine.is_newer(heartbeat):
             return OutdatedHeartbeat()
-        self._apply_newer_heartbeat(machine, heartbeat)
+        self._apply_newer_heartbeat(machine, heartbeat, HeartbeatKind.OWN)
         machine.last_own_heartbeat_at = machine.last_answered_at = machine.lease_started_at = now
         has_current_token = heartbeat.fencing_token == self.fencing_token
         return AcceptedHeartbeat(
@@ -116,20 +117,25 @@
 
     def observe_unanswered_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Process a machine's own heartbeat that is refused: the response renews no lease."""
-        self.observe_heartbeat(heartbeat)
+        self._observe(heartbeat, HeartbeatKind.OWN)
         machine = self.machines.get(heartbeat.machine)
         if machine is not None and heartbeat.id == (machine.incarnation, machine.sequence):
             machine.last_own_heartbeat_at = self._clock()
 
     def observe_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Process a heartbeat returned by a call to a worker's address."""
+        self._observe(heartbeat, HeartbeatKind.RETURNED_BY_CALL)
+
+    def _observe(self, heartbeat: Heartbeat, kind: HeartbeatKind) -> None:
         if heartbeat.machine in self.deleted_names:
             return
         machine = self.ensure_machine(heartbeat.machine)
         if machine.is_newer(heartbeat):
-            self._apply_newer_heartbeat(machine, heartbeat)
+            self._apply_newer_heartbeat(machine, heartbeat, kind)
 
-    def _apply_newer_heartbeat(self, machine: Machine, heartbeat: Heartbeat) -> None:
+    def _apply_newer_heartbeat(
+        self, machine: Machine, heartbeat: Heartbeat, kind: HeartbeatKind
+    ) -> None:
         now = self._clock()
         if (
             heartbeat.incarnation != machine.incarnation
@@ -150,7 +156,7 @@
             machine.fencing_token_seen_at = now
             if not machine.confirmed:
                 self._confirm_incarnation(machine, now)
-            self._reconciler.reconcile(machine, heartbeat, now)
+            self._reconciler.reconcile(machine, heartbeat, kind, now)
 
     def _begin_incarnation(self, machine: Machine, now: float) -> None:
         if (
--- a/tests/fakes/registry.py
+++ b/tests/fakes/registry.py
@@ -65,6 +65,10 @@
         self.registry.observe_heartbeat(heartbeat)
         return heartbeat
 
+    def refuse(self, *pieces: dict[str, Any], **fields: Any) -> None:
+        """Process the machine's own heartbeat without renewing its lease."""
+        self.registry.observe_unanswered_heartbeat(self._heartbeat_of(pieces, fields))
+
     def _heartbeat_of(
         self, pieces: tuple[dict[str, Any], ...], fields: dict[str, Any]
     ) -> Heartbeat:
--- a/tests/workers/test_lost_starts.py
+++ b/tests/workers/test_lost_starts.py
@@ -7,6 +7,7 @@
 from spoolcourse.control.jobs.model import Attempt
 from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.workers.command_builder import MAX_COMMANDS_PER_MESSAGE
+from spoolcourse.control.workers.machine import INEFFECTIVE_RESPONSES_UNTIL_UNRESPONSIVE
 from tests.fakes.registry import RegistryHarness, task_entry
 
 START = {"verb": "start", "piece": "job-000001/0", "try": 1}
@@ -81,3 +82,44 @@
     stopped = [c["piece"] for c in commands if c["verb"] == "halt"]
     assert len(commands) == MAX_COMMANDS_PER_MESSAGE
     assert started == stopped
+
+
+def test_the_answer_to_a_call_does_not_prove_a_response_lost() -> None:
+    # The response with the start was still under way: its task was started on another machine, and
+    # ran on both.
+    harness = RegistryHarness()
+    harness.heartbeat()
+    attempt = harness.assign()
+    assert harness.heartbeat() == [START]
+    harness.registry.end_attempt(attempt)
+    harness.observe()
+    harness.observe()
+    assert harness.job_state.attempts, "released, although the response may still arrive"
+    harness.heartbeat()
+    assert not harness.job_state.attempts
+
+
+def test_a_refused_heartbeat_proves_a_response_lost() -> None:
+    # The worker sends its next heartbeat only after it has given up the response to the former one.
+    harness = RegistryHarness()
+    harness.heartbeat()
+    attempt = harness.assign()
+    assert harness.heartbeat() == [START]
+    harness.registry.end_attempt(attempt)
+    harness.refuse()
+    assert not harness.job_state.attempts
+
+
+def test_answers_to_calls_do_not_make_a_machine_unresponsive() -> None:
+    harness = RegistryHarness()
+    harness.heartbeat()
+    harness.assign()
+    assert harness.heartbeat() == [START]
+    machine = harness.registry.machines["m-1"]
+    for _ in range(INEFFECTIVE_RESPONSES_UNTIL_UNRESPONSIVE):
+        harness.observe()
+    assert machine.ineffective_responses == 0
+    for _ in range(INEFFECTIVE_RESPONSES_UNTIL_UNRESPONSIVE):
+        assert not machine.is_unresponsive
+        harness.heartbeat()
+    assert machine.is_unresponsive
