A late copy of its start can't run a completed replica of a service again

Cause: a call with a start that was executed and answered may be delivered once more. The worker ignores the copy while it lists the attempt. Attempts without a result are therefore not acknowledged, but every attempt that ended as completed was, also a replica's, which has no result with which it would exit at once.

Change: a replica counts as one without a result. A machine that lists 200 attempts that must not be acknowledged gets its starts only in responses, which are not repeated, so that its heartbeats stay below 64 KiB.

The fake network delivers copies, slow requests and slow replies; fake workers keep results (PROTOCOL, POST /v1/report: started again, a done task exits as soon as it has its image). Until now a repeated start of a completed task ran it again there, which PROTOCOL excludes.

--- a/spoolcourse/control/workers/command_builder.py
+++ b/spoolcourse/control/workers/command_builder.py
@@ -15,6 +15,9 @@
 from spoolcourse.wire.messages import EndCause, Heartbeat, TaskStage, TaskStatus, parse_task_name
 
 MAX_COMMANDS_PER_MESSAGE = 300  # keeps a message well below 64 KiB
+# A machine keeps listing the ended attempts that must not be acknowledged. With so many of them,
+# further starts go only into responses, which are not repeated: heartbeats must not pass 64 KiB.
+MAX_ATTEMPTS_NOT_ACKNOWLEDGED = 200
 
 
 class CommandBuilder:
@@ -151,7 +154,7 @@
                     any(map(_needs_direct_stop, attempts))
                     or (
                         holds_lease
-                        and machine.is_schedulable
+                        and _takes_direct_starts(machine)
                         and any(map(_can_start_directly, attempts))
                     )
                 )
@@ -177,7 +180,7 @@
 
         Once they are marked, the starts may reach the worker at any time.
         """
-        if not (self._leader.holds_lease() and machine.is_schedulable):
+        if not (self._leader.holds_lease() and _takes_direct_starts(machine)):
             return []
         attempts = [a for a in machine.attempts.values() if _can_start_directly(a)][
             :MAX_COMMANDS_PER_MESSAGE
@@ -226,6 +229,14 @@
     return submission.checkpoint_cost_s + 1.0 if submission.checkpoint_every_s > 0 else 0.0
 
 
+def _takes_direct_starts(machine: Machine) -> bool:
+    """Whether starts may be sent to the machine's address."""
+    return (
+        machine.is_schedulable
+        and len(machine.attempts_not_to_acknowledge) < MAX_ATTEMPTS_NOT_ACKNOWLEDGED
+    )
+
+
 def _needs_direct_stop(attempt: Attempt) -> bool:
     """Whether the attempt's stop must still be sent to the worker's address."""
     return (
--- a/spoolcourse/control/workers/reconciliation.py
+++ b/spoolcourse/control/workers/reconciliation.py
@@ -132,12 +132,7 @@
             machine.id,
             cause,
         )
-        if attempt.start.call_may_take_effect or (
-            attempt.start.may_be_repeated and cause != EndCause.DONE
-        ):
-            # A copy of the start may still be in flight to the worker's address. The copy has no
-            # effect while the worker remembers the attempt, but would start the attempt again once
-            # its end is acknowledged and the worker has forgotten it.
+        if _may_run_again(attempt, cause):
             machine.attempts_not_to_acknowledge.add(
                 AttemptId(job_state.id, attempt.task, attempt.number)
             )
@@ -230,6 +225,19 @@
             self._machines.release_attempt(attempt)
 
 
+def _may_run_again(attempt: Attempt, cause: str) -> bool:
+    """Whether a late call, or a copy of one, would run an ended attempt that the worker forgot.
+
+    The worker ignores it as long as it lists the attempt, that is until the end is acknowledged. An
+    answered start of a task that has a result is harmless: started again, the task exits at once
+    (PROTOCOL, POST /v1/report, `done`). A replica of a service has no result.
+    """
+    if attempt.start.call_may_take_effect:
+        return True
+    has_result = cause == EndCause.DONE and not attempt.job_state.record.submission.is_service
+    return attempt.start.may_be_repeated and not has_result
+
+
 def _needs_attempt(job_state: JobState, task: int) -> bool:
     """Whether the task should run and has no attempt on any machine."""
     return (
--- a/tests/fakes/cloud.py
+++ b/tests/fakes/cloud.py
@@ -99,7 +99,12 @@
 
     async def _run(self, task: Task, incarnation: int) -> None:
         await asyncio.sleep(self.cloud.image_fetch_s)
-        if self._is_current(task, incarnation) and task.stage == "pulling":
+        if not (self._is_current(task, incarnation) and task.stage == "pulling"):
+            return
+        if task.name in self.cloud.results:
+            self._end(task, "done")
+            self._changed.set()
+        else:
             task.stage = "running"
             self.cloud.record_start(self, task)
             self._changed.set()
@@ -110,6 +115,8 @@
 
     def _end(self, task: Task, cause: str) -> None:
         task.stage, task.cause = "ended", cause
+        if cause == "done" and not self.cloud.is_replica(task.name):
+            self.cloud.results.add(task.name)
         self.cloud.on_end(self, task)
 
     def _lose_tasks(self) -> None:
@@ -211,6 +218,8 @@
         )
         self.run_s: Callable[[str], float] = lambda task: 10.0
         self.end_cause: Callable[[FakeWorker, Task], str] = lambda worker, task: "done"
+        self.results: set[str] = set()  # tasks with a result: started again, they exit at once
+        self.is_replica: Callable[[str], bool] = lambda task: False
         self.lease_check_interval_s = 0.1  # how often a worker checks its own lease
         self.violations: list[str] = []
         self.on_start: Callable[[FakeWorker, Task], None] = lambda worker, task: None
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Awaitable, Callable
 from itertools import cycle
 from typing import Any
@@ -19,13 +20,18 @@
 FAILURES_AT_ONCE = {"refused": NotConnectedError, "reset": NoResponseError}  # by verdict
 
 
+SLOW_SHARE = 0.6
+
+
 class FakeNetwork:
     """Delivers requests between hosts.
 
     A filter may return `cut` (not delivered, although the connection may have been made), `refused`
     (no connection), `reset` (the connection fails at once, not delivered), `lose` (executed, reply
     lost), `hold` (delivered when `release` is called, long after the caller's timeout), `late`
-    (delivered after one of `late_delays_s` in turn), `404` or `503`.
+    (delivered after one of `late_delays_s` in turn), `copy` (answered, and delivered once more by
+    each call of `deliver_copies`), `slow request` or `slow reply` (it takes `SLOW_SHARE` of the
+    caller's timeout), `404` or `503`.
     """
 
     def __init__(self, delay_s: float = 0.002) -> None:
@@ -35,6 +41,7 @@
             set()
         )  # (source, destination) whose open watches get no reply
         self.held: list[tuple[str, str, str, Any]] = []
+        self.copies: list[tuple[str, str, str, Any]] = []
         self.delay_s = delay_s
         self.on_late: Callable[[Any, Response], None] = lambda body, reply: None
         self.late_delays_s = cycle((2.0, 7.5, 3.1, 12.0, 4.7))
@@ -54,15 +61,16 @@
             return Response(int(verdict), {"error": "injected fault"})
         if verdict in FAILURES_AT_ONCE:
             raise FAILURES_AT_ONCE[verdict](f"{src} -> {dst}: {verdict}")
-        if verdict == "hold":
-            self.held.append((dst, method, path, body))
+        if verdict in ("hold", "copy"):
+            kept = self.held if verdict == "hold" else self.copies
+            kept.append((dst, method, path, body))
         if verdict == "late":
             spawn(self._deliver_late(next(self.late_delays_s), dst, method, path, body))
         endpoint = self.hosts.get(dst)
         if endpoint is None or verdict in ("cut", "hold", "late"):
             await asyncio.sleep(timeout)
             raise NoResponseError(f"{src} -> {dst}: no reply")
-        await asyncio.sleep(self.delay_s)
+        await asyncio.sleep(SLOW_SHARE * timeout if verdict == "slow request" else self.delay_s)
         try:
             async with asyncio.timeout(timeout):
                 reply = await endpoint(method, path, body)
@@ -70,15 +78,18 @@
                     await asyncio.sleep(0.05)
         except TimeoutError as exc:
             raise NoResponseError(f"{src} -> {dst}: no reply") from exc
-        if verdict == "lose":
-            await asyncio.sleep(timeout)
-            raise NoResponseError(f"{src} -> {dst}: reply lost")
-        if 2 * self.delay_s >= timeout:
+        reply_delay_s = self._reply_delay_s(verdict, timeout)
+        if self.delay_s + reply_delay_s >= timeout:
             await asyncio.sleep(max(timeout - self.delay_s, 0.0))
-            raise NoResponseError(f"{src} -> {dst}: replied too late")
-        await asyncio.sleep(self.delay_s)
+            raise NoResponseError(f"{src} -> {dst}: replied too late, or reply lost")
+        await asyncio.sleep(reply_delay_s)
         return reply
 
+    def _reply_delay_s(self, verdict: str | None, timeout: float) -> float:
+        if verdict == "lose":
+            return math.inf
+        return SLOW_SHARE * timeout if verdict == "slow reply" else self.delay_s
+
     async def _deliver_late(
         self, after_s: float, dst: str, method: str, path: str, body: Any
     ) -> None:
@@ -92,6 +103,14 @@
         held, self.held = self.held, []
         return [await self.hosts[dst](method, path, body) for dst, method, path, body in held]
 
+    async def deliver_copies(self) -> list[Response]:
+        """Deliver every copied request to its host again, if the host is still there."""
+        return [
+            await self.hosts[dst](method, path, body)
+            for dst, method, path, body in self.copies
+            if dst in self.hosts
+        ]
+
     def client_of(self, src: str) -> FakeHttpClient:
         return FakeHttpClient(self, src)
 
--- a/tests/fakes/world.py
+++ b/tests/fakes/world.py
@@ -96,6 +96,7 @@
         self.cancel_confirmed_at: dict[str, float] = {}  # when reported to a user
         self.starts_after_cancellation: list[str] = []  # task names
         self.cloud.on_start = self._on_start
+        self.cloud.is_replica = self._is_replica
         self._watcher: asyncio.Task[None] | None = None
 
     # -- rules ---------------------------------------------------------------------------
@@ -103,6 +104,10 @@
     def _record_violation(self, violation: str) -> None:
         self.cloud.violations.append(violation)
 
+    def _is_replica(self, task: str) -> bool:
+        job = self.accepted_jobs.get(task.split("/", maxsplit=1)[0])
+        return job is not None and job["shape"] == "standing"
+
     def _on_start(self, worker: FakeWorker, task: Task) -> None:
         """Check team limits, zones and cancellations at each start of a task."""
         name = task.name.split("/")[0]
--- a/tests/scenarios/test_lost_starts.py
+++ b/tests/scenarios/test_lost_starts.py
@@ -26,6 +26,15 @@
     return "cut" if path == "/v1/report" else None
 
 
+def delay_replies_to(machine: str) -> Filter:
+    """Return a network filter: replies to the machine's heartbeats take seconds."""
+
+    def check(src: str, dst: str, method: str, path: str, body: object) -> str | None:
+        return "slow reply" if src == machine else None
+
+    return check
+
+
 async def assign_while_cut(world: World, verdict: str) -> None:
     """Have a job assigned to the only machine, while direct calls fail and heartbeats are lost."""
     world.cloud.capacity = 1
@@ -67,3 +76,35 @@
     world.cloud.add_machine()
     world.network.filters.clear()
     await wait_until_jobs_end(world, (1,), 40)
+
+
+async def test_a_start_under_way_in_a_response_is_not_taken_for_lost_by_the_answer_to_a_call() -> (
+    None
+):
+    # The answer to the call brings a newer heartbeat without the second job's task, while the
+    # response that starts it is still under way. The task was started on the other machine too.
+    world = World()
+    world.cloud.capacity = 2
+    world.cloud.run_s = lambda task: 30.0
+    world.cloud.image_fetch_s = 0.0
+    first = await world.start_with_machine()
+    worker = world.cloud.workers[first]
+    sequence = worker.sequence
+    await world.until(lambda: worker.sequence > sequence, 2.0)
+    await asyncio.sleep(0.6)  # it may send its next heartbeat as soon as something changes
+    world.network.filters += [direct_calls_get("slow request"), delay_replies_to(first)]
+    await world.submit(job(1, pieces=1))
+    await world.until(lambda: assigned_attempts(world) == 1, 1.0)
+    await world.submit(job(2, pieces=1))
+    worker._changed.set()  # its heartbeat is answered with the start of job 2, slowly
+    active = world.active()
+    await world.until(lambda: active.job_queue.jobs["job-000002"].attempts, 1.0)
+    attempt = active.job_queue.jobs["job-000002"].attempts[0]
+    await world.until(lambda: attempt.start.response_to is not None, 1.0)
+    active.registry.machines[first].start_refused_until = world.now() + 5.0
+    world.cloud.add_machine("b")
+    active.registry.end_attempt(attempt)
+    await world.until(lambda: len(world.cloud.starts) >= 2, 20)
+    await asyncio.sleep(4)
+    world.network.filters.clear()
+    await wait_until_jobs_end(world, (1, 2))
--- a/tests/workers/test_lost_starts.py
+++ b/tests/workers/test_lost_starts.py
@@ -6,7 +6,10 @@
 
 from spoolcourse.control.jobs.model import Attempt
 from spoolcourse.control.jobs.start_delivery import CallState
-from spoolcourse.control.workers.command_builder import MAX_COMMANDS_PER_MESSAGE
+from spoolcourse.control.workers.command_builder import (
+    MAX_ATTEMPTS_NOT_ACKNOWLEDGED,
+    MAX_COMMANDS_PER_MESSAGE,
+)
 from spoolcourse.control.workers.machine import INEFFECTIVE_RESPONSES_UNTIL_UNRESPONSIVE
 from tests.fakes.registry import RegistryHarness, task_entry
 
@@ -123,3 +126,23 @@
         assert not machine.is_unresponsive
         harness.heartbeat()
     assert machine.is_unresponsive
+
+
+def test_the_list_of_attempts_that_are_not_acknowledged_is_bounded() -> None:
+    # Each of them stays in the machine's heartbeats, which may not pass 64 KiB.
+    harness = RegistryHarness(pieces=MAX_ATTEMPTS_NOT_ACKNOWLEDGED + 50, vcpus=0.01)
+    harness.heartbeat()
+    machine = harness.registry.machines["m-1"]
+    ended: list[dict[str, object]] = []
+    sent_by_call = 0
+    for task in range(MAX_ATTEMPTS_NOT_ACKNOWLEDGED + 50):
+        attempt = harness.assign(task)
+        sent_by_call += bool(harness.registry.command_builder.claim_starts(machine))
+        attempt.start.call_ends(CallState.ANSWERED)
+        assert len(harness.heartbeat(*ended) or []) == 1, "the start is not in the response"
+        listed = task_entry(task, stage="ended", cause="halted")
+        acknowledged = harness.heartbeat(*ended, listed)
+        if not acknowledged:
+            ended.append(listed)
+    assert len(machine.attempts_not_to_acknowledge) == MAX_ATTEMPTS_NOT_ACKNOWLEDGED
+    assert len(ended) == sent_by_call == MAX_ATTEMPTS_NOT_ACKNOWLEDGED
