Commands in responses and in calls have a module each

Comments with "so long" and "so many" say what they count, where they are not recorded texts. No behaviour changes.

--- a/spoolcourse/control/jobs/model.py
+++ b/spoolcourse/control/jobs/model.py
@@ -22,6 +22,7 @@
 from spoolcourse.wire.identities import ChunkId
 from spoolcourse.wire.messages import TaskStage, task_name
 
+CHECKPOINT_MARGIN_S = 1.0  # in addition to the time that the owner states for a checkpoint
 UNLIMITED_HELD_TASKS = sys.maxsize  # only the chunk size limits the held tasks of a chunk
 
 
@@ -75,6 +76,11 @@
         """Whether no start command has taken effect, and none that was sent still can."""
         return self.stage is AttemptStage.ASSIGNED and not self.start.may_take_effect
 
+    @property
+    def is_startable(self) -> bool:
+        """Whether the attempt is recorded durably and is neither stopping nor cancelled."""
+        return self.is_persisted and not self.stopping and not self.job_state.record.cancelled
+
     @property
     def is_persisted(self) -> bool:
         """Whether the record of the attempt is durable; no start may be sent before.
@@ -148,6 +154,14 @@
         """The sort key that orders jobs by arrival."""
         return (self.record.accepted_at, self.id)
 
+    @property
+    def checkpoint_grace_s(self) -> float:
+        """The time a stopped task needs to save a checkpoint; 0 for a job without them."""
+        submission = self.record.submission
+        if submission.checkpoint_every_s <= 0:
+            return 0.0
+        return submission.checkpoint_cost_s + CHECKPOINT_MARGIN_S
+
     @property
     def pending_count(self) -> int:
         """The number of pending tasks: those neither done nor held."""
--- a/spoolcourse/control/jobs/start_delivery.py
+++ b/spoolcourse/control/jobs/start_delivery.py
@@ -36,7 +36,7 @@
     NOT_SENT = "not sent"  # no call yet, or none that got a connection
     IN_PROGRESS = "in progress"
     UNANSWERED = "unanswered"  # it may be executed at any later time
-    ANSWERED = "answered"  # executed, or refused for good
+    ANSWERED = "answered"  # executed, or refused permanently
 
 
 @dataclass(slots=True)
--- a/spoolcourse/control/leadership/renewal_deadline.py
+++ b/spoolcourse/control/leadership/renewal_deadline.py
@@ -25,7 +25,7 @@
 
     def __init__(self, workers: WorkerSettings) -> None:
         cancel_s = workers.cancel_s * (1 - MAX_RELATIVE_CLOCK_DRIFT)
-        # For so long after `caught_up_at` leases may be renewed.
+        # Leases may be renewed until this long after `caught_up_at`.
         self.renewal_window_s = (
             cancel_s - workers.lease_s * (1 + MAX_RELATIVE_CLOCK_DRIFT) - TASK_END_MARGIN_S
         )
--- a/spoolcourse/control/rate_limit.py
+++ b/spoolcourse/control/rate_limit.py
@@ -5,7 +5,7 @@
 import asyncio
 
 DEFAULT_MAX_WAIT_S = 1.0
-# Share of a burst; with at least so many tokens left, work that is not urgent may proceed.
+# Share of a burst: work that is not urgent may proceed while at least this share is left.
 SPARE_TOKEN_SHARE = 0.5
 
 
--- a/spoolcourse/control/store/client.py
+++ b/spoolcourse/control/store/client.py
@@ -41,7 +41,7 @@
 log = logging.getLogger(__name__)
 
 MAX_PAGE_KEYS = 1000  # the most keys in one response to a read of a prefix
-# Requests count as failing if none has succeeded for so long. The store may still answer other
+# Requests count as failing if none has succeeded for this time. The store may still answer other
 # controllers.
 FAILING_AFTER_S = 0.5
 REQUEST_TIMEOUT_S = 1.0
--- a/spoolcourse/control/workers/call_limit.py
+++ b/spoolcourse/control/workers/call_limit.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-MACHINES_PER_CONCURRENT_CALL = 8  # above the minimum, one call is allowed per so many machines
+MACHINES_PER_CONCURRENT_CALL = 8  # above the minimum, for one more call
 CALL_SOCKET_FRACTION = 0.2  # of a controller's sockets, at most, for calls to machines
 
 
--- a/spoolcourse/control/workers/command_dispatcher.py
+++ b/spoolcourse/control/workers/command_dispatcher.py
@@ -53,7 +53,7 @@
             while True:
                 await self.wake.wait()
                 self.wake.clear()
-                for machine in self._registry.command_builder.machines_to_call(self._calls):
+                for machine in self._registry.direct_commands.machines_to_call(self._calls):
                     if self._is_at_limit():
                         break  # the next call that ends wakes this loop for the rest
                     call = asyncio.get_running_loop().create_task(self._send(machine))
@@ -88,9 +88,9 @@
                 self.wake.set()
 
     async def _send_commands(self, machine: Machine) -> None:
-        attempts = self._registry.command_builder.claim_starts(machine)
+        attempts = self._registry.direct_commands.claim_starts(machine)
         incarnation = WorkerIncarnation(machine.address, machine.incarnation)
-        commands = self._registry.command_builder.claim_stops(machine) + [
+        commands = self._registry.direct_commands.claim_stops(machine) + [
             Start(attempt.name, attempt.number) for attempt in attempts
         ]
         result = await self._call(machine, incarnation, commands)
--- a/spoolcourse/control/workers/heartbeat_relay.py
+++ b/spoolcourse/control/workers/heartbeat_relay.py
@@ -25,7 +25,7 @@
 RELAY_TIMEOUT_S = 1.5
 # While the leader gets no heartbeats directly, one worker per period is redirected to it.
 LEADER_PROBE_PERIOD_S = 15.0
-RECENT_HEARTBEAT_INTERVALS = 3  # a heartbeat relayed within so many intervals is recent
+RECENT_HEARTBEAT_INTERVALS = 3  # age up to which a relayed heartbeat is recent
 
 
 def redirect(leader: str | None) -> Response:
--- a/spoolcourse/control/workers/command_builder.py
+++ b/spoolcourse/control/workers/response_commands.py
@@ -1,37 +1,26 @@
-"""Builds commands for machines: for heartbeat responses, and for calls to their addresses."""
+"""Commands in the responses to heartbeats."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Container
-
-from spoolcourse.control.jobs.model import Attempt, AttemptStage, JobState
+from spoolcourse.control.jobs.model import Attempt, AttemptStage
 from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.leadership.failover_timeline import FailoverPhase
 from spoolcourse.control.workers.leader_interface import Leader
 from spoolcourse.control.workers.machine import Machine
 from spoolcourse.control.workers.machine_table import MachineTable
-from spoolcourse.wire.commands import Acknowledge, Command, Start, Stop
+from spoolcourse.wire.commands import MAX_COMMANDS_PER_MESSAGE, Acknowledge, Command, Start, Stop
 from spoolcourse.wire.identities import AttemptId, TaskId
 from spoolcourse.wire.messages import EndCause, Heartbeat, TaskStage, TaskStatus, parse_task_name
 
-MAX_COMMANDS_PER_MESSAGE = 300  # keeps a message well below 64 KiB
-# A machine keeps listing the ended attempts that must not be acknowledged. With so many of them,
-# further starts go only into responses, which are not repeated: heartbeats must not pass 64 KiB.
-MAX_ATTEMPTS_NOT_ACKNOWLEDGED = 200
-
 
-class CommandBuilder:
-    """Derives a machine's commands from the attempts assigned to it and the attempts it reports."""
+class ResponseCommands:
+    """Derives a machine's commands from the attempts assigned to it and those it reports."""
 
-    def __init__(self, machines: MachineTable, leader: Leader, clock: Callable[[], float]) -> None:
-        self._machines = machines
+    def __init__(self, machines: MachineTable, leader: Leader) -> None:
         self._job_queue = machines.job_queue
         self._leader = leader
-        self._clock = clock
-
-    # -- in heartbeat responses --------------------------------------------------------------
 
-    def build_response(
+    def commands_for(
         self, machine: Machine, heartbeat: Heartbeat, has_current_token: bool
     ) -> list[Command]:
         """Return the commands for the response to a heartbeat, the urgent ones first.
@@ -43,8 +32,7 @@
         """
         urgent, others = self._commands_for_reported_attempts(machine, heartbeat, has_current_token)
         urgent += self._stops_of_unlisted_cancelled(machine, heartbeat)
-        commands = urgent + others
-        commands = commands[:MAX_COMMANDS_PER_MESSAGE]
+        commands = (urgent + others)[:MAX_COMMANDS_PER_MESSAGE]
         if has_current_token and self._leader.holds_lease():
             self._add_starts_with_stops(machine, heartbeat, commands)
             self._add_starts(machine, heartbeat, commands)
@@ -123,74 +111,11 @@
         for attempt in machine.attempts.values():
             if len(commands) >= MAX_COMMANDS_PER_MESSAGE:
                 return
-            if attempt.stage is AttemptStage.ASSIGNED and _is_startable(attempt):
+            if attempt.stage is AttemptStage.ASSIGNED and attempt.is_startable:
                 attempt.start.sent_in_response(heartbeat.id)
                 self._leader.record_failover_phase(FailoverPhase.FIRST_START)
                 commands.append(Start(attempt.name, attempt.number))
 
-    # -- in calls to a machine's address -----------------------------------------------------
-
-    def machines_to_call(self, machines_being_called: Container[str]) -> list[Machine]:
-        """Return the machines to send commands to now, without `machines_being_called`.
-
-        Only the machines in `machines_with_unsent_commands` are examined, never the whole fleet.
-        Machines whose commands must wait stay in this set.
-        """
-        now, holds_lease = self._clock(), self._leader.holds_lease()
-        machines: list[Machine] = []
-        for name in list(self._machines.machines_with_unsent_commands):
-            machine = self._machines.machines.get(name)
-            attempts = machine.attempts.values() if machine is not None else ()
-            if machine is None or not any(
-                _needs_direct_stop(a) or _needs_direct_start(a) for a in attempts
-            ):
-                self._machines.machines_with_unsent_commands.discard(name)
-            elif (
-                name not in machines_being_called
-                and machine.confirmed
-                and machine.is_reachable(now)
-                and not self._machines.is_suspect(machine)
-                and (
-                    any(map(_needs_direct_stop, attempts))
-                    or (
-                        holds_lease
-                        and _takes_direct_starts(machine)
-                        and any(map(_can_start_directly, attempts))
-                    )
-                )
-            ):
-                machines.append(machine)
-        return machines
-
-    def claim_stops(self, machine: Machine) -> list[Command]:
-        """Return the stops to send to the machine's address; mark them as sent.
-
-        A stop names its attempt, so one that arrives late does no harm.
-        """
-        commands: list[Command] = []
-        for attempt in machine.attempts.values():
-            if _needs_direct_stop(attempt):
-                attempt.stop_sent = True
-                grace_s = _checkpoint_grace_s(attempt.job_state)
-                commands.append(Stop(attempt.name, attempt.number, grace_s))
-        return commands
-
-    def claim_starts(self, machine: Machine) -> list[Attempt]:
-        """Return the attempts to start by a call to the machine's address; mark them as sent.
-
-        Once they are marked, the starts may reach the worker at any time.
-        """
-        if not (self._leader.holds_lease() and _takes_direct_starts(machine)):
-            return []
-        attempts = [a for a in machine.attempts.values() if _can_start_directly(a)][
-            :MAX_COMMANDS_PER_MESSAGE
-        ]
-        if attempts:
-            self._leader.record_failover_phase(FailoverPhase.FIRST_START)
-        for attempt in attempts:
-            attempt.start.call_begins(machine.incarnation)
-        return attempts
-
     def _may_acknowledge(self, machine: Machine, task_id: TaskId, status: TaskStatus) -> bool:
         """Whether the worker may forget an ended attempt: a result must be durable first."""
         if _includes_attempt(machine.attempts_not_to_acknowledge, task_id, status.attempt):
@@ -214,7 +139,7 @@
             return 0.0
         attempt = machine.attempts.get(task_id)
         if attempt is not None and attempt.stopping and status.stage is not TaskStage.SAVING:
-            return _checkpoint_grace_s(job_state)
+            return job_state.checkpoint_grace_s
         return None
 
 
@@ -223,39 +148,6 @@
     return bool(attempt_ids) and AttemptId(*task_id, number) in attempt_ids
 
 
-def _checkpoint_grace_s(job_state: JobState) -> float:
-    """Return the time a stopped task needs to save a checkpoint; 0 for a job without them."""
-    submission = job_state.record.submission
-    return submission.checkpoint_cost_s + 1.0 if submission.checkpoint_every_s > 0 else 0.0
-
-
-def _takes_direct_starts(machine: Machine) -> bool:
-    """Whether starts may be sent to the machine's address."""
-    return (
-        machine.is_schedulable
-        and len(machine.attempts_not_to_acknowledge) < MAX_ATTEMPTS_NOT_ACKNOWLEDGED
-    )
-
-
-def _needs_direct_stop(attempt: Attempt) -> bool:
-    """Whether the attempt's stop must still be sent to the worker's address."""
-    return (
-        attempt.stopping
-        and not attempt.stop_sent
-        and attempt.stage in (AttemptStage.FETCHING, AttemptStage.RUNNING)
-    )
-
-
-def _needs_direct_start(attempt: Attempt) -> bool:
-    """Whether the attempt's start must still be sent, now or once its record is durable."""
-    return attempt.stage is AttemptStage.ASSIGNED and attempt.start.call_state is CallState.NOT_SENT
-
-
-def _can_start_directly(attempt: Attempt) -> bool:
-    """Whether the start can be sent to the worker's address now."""
-    return _needs_direct_start(attempt) and _is_startable(attempt)
-
-
 def _needs_start_with_stop(attempt: Attempt) -> bool:
     """Whether the attempt is being stopped, but an unanswered call may still start it."""
     return (
@@ -264,8 +156,3 @@
         and attempt.start.call_state is CallState.UNANSWERED
         and not attempt.job_state.record.cancelled
     )
-
-
-def _is_startable(attempt: Attempt) -> bool:
-    """Whether the attempt is recorded durably and is neither stopping nor cancelled."""
-    return attempt.is_persisted and not attempt.stopping and not attempt.job_state.record.cancelled
--- a/spoolcourse/control/workers/worker_registry.py
+++ b/spoolcourse/control/workers/worker_registry.py
@@ -1,7 +1,8 @@
 """The leader's worker registry: accepts heartbeats and detects expired leases.
 
-`reconciliation` derives the state of attempts from heartbeats, `command_builder` the commands for
-a machine. The states of a machine are described in `docs/machine-states.md`.
+`reconciliation` derives the state of attempts from heartbeats, `response_commands` and
+`direct_commands` the commands for a machine. The states of a machine are described in
+`docs/machine-states.md`.
 """
 
 from __future__ import annotations
@@ -15,11 +16,12 @@
 from spoolcourse.control.leadership.failover_proof import FailoverProof
 from spoolcourse.control.leadership.failover_timeline import FailoverPhase
 from spoolcourse.control.leadership.renewal_deadline import MAX_RELATIVE_CLOCK_DRIFT
-from spoolcourse.control.workers.command_builder import CommandBuilder
+from spoolcourse.control.workers.direct_commands import DirectCommands
 from spoolcourse.control.workers.leader_interface import Leader
 from spoolcourse.control.workers.machine import Machine
 from spoolcourse.control.workers.machine_table import MachineTable
 from spoolcourse.control.workers.reconciliation import HeartbeatReconciler
+from spoolcourse.control.workers.response_commands import ResponseCommands
 from spoolcourse.wire.commands import Command
 from spoolcourse.wire.messages import Heartbeat
 from spoolcourse.wire.peers import Hint
@@ -74,7 +76,8 @@
         self._clock = clock
         self.leader = leader
         self._reconciler = HeartbeatReconciler(self, leader)
-        self.command_builder = CommandBuilder(self, leader, clock)
+        self._response_commands = ResponseCommands(self, leader)
+        self.direct_commands = DirectCommands(self, leader, clock)
         # The previous leader's hints, by machine, until the machine is confirmed. The cached images
         # in a hint are valid only in the same incarnation.
         self.unapplied_hints: dict[str, Hint] = {}
@@ -112,7 +115,7 @@
         machine.last_own_heartbeat_at = machine.last_answered_at = machine.lease_started_at = now
         has_current_token = heartbeat.fencing_token == self.fencing_token
         return AcceptedHeartbeat(
-            self.command_builder.build_response(machine, heartbeat, has_current_token)
+            self._response_commands.commands_for(machine, heartbeat, has_current_token)
         )
 
     def observe_unanswered_heartbeat(self, heartbeat: Heartbeat) -> None:
--- a/spoolcourse/wire/commands.py
+++ b/spoolcourse/wire/commands.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+MAX_COMMANDS_PER_MESSAGE = 300  # keeps a message well below 64 KiB
+
 
 class Start(msgspec.Struct, frozen=True, tag_field="verb", tag="start"):
     """Start an attempt at a task. Has no effect while the worker knows the attempt."""
--- a/spoolcourse/wire/settings.py
+++ b/spoolcourse/wire/settings.py
@@ -71,7 +71,7 @@
     """Heartbeats and leases of workers, and the time within which cancelled work must end."""
 
     heartbeat_interval_s: Positive = msgspec.field(name="report_s")
-    lease_s: Positive  # a worker without a renewal for so long ends its tasks
+    lease_s: Positive  # a worker whose lease was not renewed for this time ends its tasks
     cancel_s: Positive  # no task may run longer after the cancellation of its job
 
     @property
--- a/tests/scenarios/test_late_messages.py
+++ b/tests/scenarios/test_late_messages.py
@@ -66,16 +66,16 @@
     harness.observe()
     assert not harness.registry.is_suspect(machine)
     harness.assign()
-    assert harness.registry.command_builder.machines_to_call(()) == [machine]
+    assert harness.registry.direct_commands.machines_to_call(()) == [machine]
     harness.now += 1.5
     harness.observe()
     assert machine.last_heartbeat_at == harness.now
     assert harness.registry.is_suspect(machine)
-    assert harness.registry.command_builder.machines_to_call(()) == [], (
+    assert harness.registry.direct_commands.machines_to_call(()) == [], (
         "start commands are sent to a suspect machine"
     )
     harness.heartbeat()
-    assert harness.registry.command_builder.machines_to_call(()) == [machine]
+    assert harness.registry.direct_commands.machines_to_call(()) == [machine]
 
 
 def test_the_first_heartbeat_reply_after_a_failover_halts_cancelled_tasks() -> None:
--- a/tests/workers/test_lost_starts.py
+++ b/tests/workers/test_lost_starts.py
@@ -6,11 +6,9 @@
 
 from spoolcourse.control.jobs.model import Attempt
 from spoolcourse.control.jobs.start_delivery import CallState
-from spoolcourse.control.workers.command_builder import (
-    MAX_ATTEMPTS_NOT_ACKNOWLEDGED,
-    MAX_COMMANDS_PER_MESSAGE,
-)
+from spoolcourse.control.workers.direct_commands import MAX_ATTEMPTS_NOT_ACKNOWLEDGED
 from spoolcourse.control.workers.machine import INEFFECTIVE_RESPONSES_UNTIL_UNRESPONSIVE
+from spoolcourse.wire.commands import MAX_COMMANDS_PER_MESSAGE
 from tests.fakes.registry import RegistryHarness, task_entry
 
 START = {"verb": "start", "piece": "job-000001/0", "try": 1}
@@ -23,7 +21,7 @@
     harness.heartbeat()
     attempt = harness.assign()
     machine = harness.registry.machines["m-1"]
-    assert harness.registry.command_builder.claim_starts(machine) == [attempt]
+    assert harness.registry.direct_commands.claim_starts(machine) == [attempt]
     attempt.start.call_ends(state)
     return harness, attempt
 
@@ -75,7 +73,7 @@
     harness.heartbeat()
     attempts = [harness.assign(task) for task in range(MAX_COMMANDS_PER_MESSAGE)]
     machine = harness.registry.machines["m-1"]
-    assert harness.registry.command_builder.claim_starts(machine) == attempts
+    assert harness.registry.direct_commands.claim_starts(machine) == attempts
     for attempt in attempts:
         attempt.start.call_ends(CallState.UNANSWERED)
     for attempt in attempts[1:]:
@@ -137,7 +135,7 @@
     sent_by_call = 0
     for task in range(MAX_ATTEMPTS_NOT_ACKNOWLEDGED + 50):
         attempt = harness.assign(task)
-        sent_by_call += bool(harness.registry.command_builder.claim_starts(machine))
+        sent_by_call += bool(harness.registry.direct_commands.claim_starts(machine))
         attempt.start.call_ends(CallState.ANSWERED)
         assert len(harness.heartbeat(*ended) or []) == 1, "the start is not in the response"
         listed = task_entry(task, stage="ended", cause="halted")
--- a/tests/workers/test_worker_registry.py
+++ b/tests/workers/test_worker_registry.py
@@ -160,8 +160,8 @@
     harness.heartbeat()
     attempt = harness.assign()
     machine = harness.registry.machines["m-1"]
-    assert harness.registry.command_builder.claim_starts(machine) == [attempt]
-    assert harness.registry.command_builder.machines_to_call(()) == [], (
+    assert harness.registry.direct_commands.claim_starts(machine) == [attempt]
+    assert harness.registry.direct_commands.machines_to_call(()) == [], (
         "the start would be sent by a direct call twice"
     )
     harness.job_state.record.cancelled_at = 100.0
@@ -178,7 +178,7 @@
     attempt = harness.assign()
     # The direct call that sends the start is answered, but the network may deliver a copy of it
     # later.
-    harness.registry.command_builder.claim_starts(harness.registry.machines["m-1"])
+    harness.registry.direct_commands.claim_starts(harness.registry.machines["m-1"])
     attempt.start.call_ends(CallState.ANSWERED)
     harness.heartbeat(task_entry())
     assert harness.heartbeat(task_entry(stage="ended", cause="halted")) == []
