An attempt that is to end is released or stopped as soon as the call that starts it ends

A preemption or cancellation during the call waited for the next heartbeat: without a connection the attempt could be released at once, and with an answer the stop can go to the worker's address. Behind a partition no heartbeat comes, and the machine of a cancelled job would be deleted for a start that was never sent.

Evidence: the two new tests in tests/scenarios/test_lost_starts.py fail without the change.

--- a/spoolcourse/control/workers/command_dispatcher.py
+++ b/spoolcourse/control/workers/command_dispatcher.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from spoolcourse.control.http_client import HttpClient, NoResponseError, NotConnectedError
+from spoolcourse.control.jobs.model import Attempt
 from spoolcourse.control.jobs.start_delivery import CallState
 from spoolcourse.control.workers.call_limit import concurrent_call_limit
 from spoolcourse.control.workers.machine import Machine
@@ -100,6 +101,13 @@
             self._registry.machines_with_unsent_commands.add(machine.id)
         if result.heartbeat is not None:
             self._registry.observe_heartbeat(result.heartbeat)
+        self._end_stopped(attempts)
+
+    def _end_stopped(self, attempts: list[Attempt]) -> None:
+        """Release or stop attempts that were to end while the call with their starts went on."""
+        for attempt in attempts:
+            if attempt.stopping and self._registry.is_tracked(attempt):
+                self._registry.end_attempt(attempt)
 
     async def _call(
         self, machine: Machine, incarnation: WorkerIncarnation, commands: list[Command]
--- a/spoolcourse/control/workers/machine_table.py
+++ b/spoolcourse/control/workers/machine_table.py
@@ -61,10 +61,15 @@
             self._clock(), self.suspect_after_s
         )
 
+    def is_tracked(self, attempt: Attempt) -> bool:
+        """Whether the attempt is in the table: it is not proven gone yet."""
+        machine = self.machines.get(attempt.machine)
+        return machine is not None and machine.attempts.get(_task_id(attempt)) is attempt
+
     def track_attempt(self, attempt: Attempt) -> None:
         """Add an attempt to the machine that it is assigned to."""
         machine = self.ensure_machine(attempt.machine)
-        machine.attempts[TaskId(attempt.job_state.id, attempt.task)] = attempt
+        machine.attempts[_task_id(attempt)] = attempt
         machine.change_count += 1
         machine.idle_since = None
         self.machines_with_unsent_commands.add(machine.id)
@@ -84,12 +89,10 @@
 
     def release_attempt(self, attempt: Attempt) -> None:
         """Remove an attempt that is proven gone."""
-        machine = self.machines.get(attempt.machine)
-        if machine is not None:
-            task_id = TaskId(attempt.job_state.id, attempt.task)
-            if machine.attempts.get(task_id) is attempt:
-                del machine.attempts[task_id]
-                machine.change_count += 1
+        if self.is_tracked(attempt):
+            machine = self.machines[attempt.machine]
+            del machine.attempts[_task_id(attempt)]
+            machine.change_count += 1
         self.job_queue.drop(attempt)
         self._on_capacity_change()
 
@@ -108,3 +111,7 @@
         machine = self.machines.pop(name, None)
         if machine is not None:
             self.release_all_attempts(machine)
+
+
+def _task_id(attempt: Attempt) -> TaskId:
+    return TaskId(attempt.job_state.id, attempt.task)
--- a/tests/fakes/network.py
+++ b/tests/fakes/network.py
@@ -27,11 +27,11 @@
     """Delivers requests between hosts.
 
     A filter may return `cut` (not delivered, although the connection may have been made), `refused`
-    (no connection), `reset` (the connection fails at once, not delivered), `lose` (executed, reply
-    lost), `hold` (delivered when `release` is called, long after the caller's timeout), `late`
-    (delivered after one of `late_delays_s` in turn), `copy` (answered, and delivered once more by
-    each call of `deliver_copies`), `slow request` or `slow reply` (it takes `SLOW_SHARE` of the
-    caller's timeout), `404` or `503`.
+    (no connection), `unconnected` (no connection within the timeout), `reset` (the connection fails
+    at once, not delivered), `lose` (executed, reply lost), `hold` (delivered when `release` is
+    called, long after the caller's timeout), `late` (delivered after one of `late_delays_s` in
+    turn), `copy` (answered, and delivered once more by each call of `deliver_copies`), `slow
+    request` or `slow reply` (it takes `SLOW_SHARE` of the caller's timeout), `404` or `503`.
     """
 
     def __init__(self, delay_s: float = 0.002) -> None:
@@ -67,9 +67,10 @@
         if verdict == "late":
             spawn(self._deliver_late(next(self.late_delays_s), dst, method, path, body))
         endpoint = self.hosts.get(dst)
-        if endpoint is None or verdict in ("cut", "hold", "late"):
+        if endpoint is None or verdict in ("cut", "hold", "late", "unconnected"):
             await asyncio.sleep(timeout)
-            raise NoResponseError(f"{src} -> {dst}: no reply")
+            error = NotConnectedError if verdict == "unconnected" else NoResponseError
+            raise error(f"{src} -> {dst}: no reply")
         await asyncio.sleep(SLOW_SHARE * timeout if verdict == "slow request" else self.delay_s)
         try:
             async with asyncio.timeout(timeout):
--- a/tests/fakes/random_messages.py
+++ b/tests/fakes/random_messages.py
@@ -23,7 +23,17 @@
 SETTLE_S = 15.0
 END_LIMIT_S = 240.0
 MAX_COPY_DELAY_S = 25.0
-COMMAND_VERDICTS = ("cut", "refused", "reset", "lose", "late", "slow request", "copy", "copy")
+COMMAND_VERDICTS = (
+    "cut",
+    "refused",
+    "unconnected",
+    "reset",
+    "lose",
+    "late",
+    "slow request",
+    "copy",
+    "copy",
+)
 HEARTBEAT_VERDICTS = ("cut", "lose", "reset", "refused", *["slow reply"] * 3)
 FAILURE_SHARE = 0.1
 # After an urgent job, and after another one: its tasks are preempted before they are reported.
--- a/tests/scenarios/test_lost_starts.py
+++ b/tests/scenarios/test_lost_starts.py
@@ -50,7 +50,7 @@
     return sum(a.stage is AttemptStage.ASSIGNED for a in job_state.attempts.values())
 
 
-@pytest.mark.parametrize("verdict", ["cut", "reset", "refused", "lose"])
+@pytest.mark.parametrize("verdict", ["cut", "reset", "refused", "unconnected", "lose"])
 async def test_a_preempted_attempt_whose_direct_start_was_lost_frees_its_room(
     verdict: str,
 ) -> None:
@@ -64,7 +64,7 @@
     assert len(world.cloud.hosts) == 1
 
 
-@pytest.mark.parametrize("verdict", ["cut", "reset", "refused"])
+@pytest.mark.parametrize("verdict", ["cut", "reset", "refused", "unconnected"])
 async def test_an_attempt_whose_direct_start_was_lost_leaves_a_machine_with_a_notice(
     verdict: str,
 ) -> None:
@@ -108,3 +108,29 @@
     await asyncio.sleep(4)
     world.network.filters.clear()
     await wait_until_jobs_end(world, (1, 2))
+
+
+async def test_an_attempt_cancelled_during_a_call_without_connection_ends_with_it() -> None:
+    # It waited for the next heartbeat, or for the deletion of its machine.
+    world = World()
+    await assign_while_cut(world, "unconnected")
+    assert (await world.cancel()).status == 200
+    await asyncio.sleep(1.5)  # the call has ended, and no heartbeat has arrived
+    active = world.active()
+    assert not active.registry.machines[next(iter(world.cloud.workers))].attempts
+    assert world.cloud.starts == []
+
+
+async def test_a_task_that_is_cancelled_during_the_call_that_starts_it_gets_a_stop_at_once() -> (
+    None
+):
+    world = World()
+    world.cloud.capacity = 1
+    name = await world.start_with_machine()
+    world.network.filters += [direct_calls_get("slow request"), lose_heartbeats]
+    await world.submit(job(1))
+    await world.until(lambda: assigned_attempts(world) == 4, 3.0)
+    assert (await world.cancel()).status == 200
+    world.network.filters.remove(world.network.filters[0])
+    await asyncio.sleep(0.7)  # no heartbeat has arrived
+    assert {task.cause for task in world.cloud.workers[name].tasks.values()} == {"halted"}
