--- a/tests/scenarios/test_late_copies.py
+++ b/tests/scenarios/test_late_copies.py
@@ -136,6 +136,14 @@
     scene.world.start(first)
 
 
+async def leadership_released(scene: Scene) -> None:
+    """The leader steps down and releases its lease, as for an upgrade."""
+    world = scene.world
+    first = str(world.leader)
+    await world.controllers[first].leadership.step_down_and_release_lease("a test")
+    await world.until(lambda: world.leader not in (None, first), 20)
+
+
 async def machine_back_at_once(scene: Scene) -> None:
     """The machine is cut off and back within a second."""
     filters = list(scene.world.network.filters)
@@ -166,6 +174,7 @@
     nothing,
     leader_back_at_once,
     another_leader,
+    leadership_released,
     machine_back_at_once,
     lease_expired,
 ]
--- a/tests/scenarios/test_lost_starts.py
+++ b/tests/scenarios/test_lost_starts.py
@@ -134,3 +134,47 @@
     world.network.filters.remove(world.network.filters[0])
     await asyncio.sleep(0.7)  # no heartbeat has arrived
     assert {task.cause for task in world.cloud.workers[name].tasks.values()} == {"halted"}
+
+
+async def test_a_late_call_does_not_start_a_preempted_attempt_that_moved() -> None:
+    world = World()
+    await assign_while_cut(world, "hold")
+    await world.submit(job(2, rank="high"))
+    await asyncio.sleep(2.5)
+    world.network.filters.clear()
+    await wait_until_jobs_end(world, (1, 2), 60)
+    world.cloud.image_fetch_s = 0.0  # a start takes effect at once
+    starts_before = list(world.cloud.starts)
+    assert [reply.status for reply in await world.network.release()] == [200]
+    await asyncio.sleep(5)
+    assert world.cloud.starts == starts_before
+
+
+async def test_a_late_call_of_a_cancelled_job_is_stopped_and_its_machine_is_kept() -> None:
+    world = World()
+    await assign_while_cut(world, "hold")
+    assert (await world.cancel()).status == 200
+    await asyncio.sleep(2.5)
+    world.network.filters.clear()
+    await asyncio.sleep(5)
+    assert world.active().job_queue.jobs["job-000001"].attempts, "released too early"
+    await world.network.release()
+    await asyncio.sleep(5)
+    assert world.starts_after_cancellation == []
+    assert "job-000001" not in world.active().job_queue.jobs
+    assert len(world.cloud.hosts) == 1
+
+
+async def test_a_machine_is_deleted_if_a_lost_start_of_a_cancelled_job_may_still_take_effect() -> (
+    None
+):
+    # None of the job's tasks may be started, so nothing else proves that the call has no effect.
+    world = World()
+    await assign_while_cut(world, "hold")
+    first = set(world.cloud.hosts)
+    assert (await world.cancel()).status == 200
+    await asyncio.sleep(2.5)
+    world.network.filters.clear()
+    await world.until(lambda: not first & set(world.cloud.hosts), 40)
+    assert "job-000001" not in world.active().job_queue.jobs
+    assert world.cloud.starts == []
