--- a/tests/fakes/random_messages.py
+++ b/tests/fakes/random_messages.py
@@ -19,6 +19,7 @@
 from tests.fakes.world import World, job
 
 JOBS = 20
+SERVICES = (4, 9)  # numbers of the jobs that are services, whose replicas end now and then
 TROUBLE_S = 45.0
 SETTLE_S = 15.0
 END_LIMIT_S = 240.0
@@ -73,6 +74,8 @@
         self._is_over = True
         await interference
         world.network.filters.clear()
+        for number in SERVICES:
+            await self._cancel_later(number, 0.0)
         await asyncio.sleep(SETTLE_S)
         await wait_until_jobs_end(world, range(1, JOBS + 1), END_LIMIT_S)
 
@@ -87,8 +90,18 @@
         return None
 
     async def _submit(self, number: int) -> None:
+        body = self._service(number) if number in SERVICES else self._array(number)
+        await retry_until_accepted(self.world, lambda label: self.world.submit(body, label))
+        if number not in SERVICES and self._random.random() < 0.2:
+            spawn(self._cancel_later(number, self._random.uniform(0.0, 8.0)))
+
+    @staticmethod
+    def _service(number: int) -> dict[str, Any]:
+        return job(number, shape="standing", rank="prod", pieces=2, vcpus=1.0, expectS=0.0)
+
+    def _array(self, number: int) -> dict[str, Any]:
         is_urgent = number % 2 == 0
-        body = job(
+        return job(
             number,
             rank="high" if is_urgent else "standard",
             crew="blue" if self._random.random() < 0.3 else "red",
@@ -96,9 +109,6 @@
             vcpus=self._random.choice((2.0, 4.0)),
             oneZone=self._random.random() < 0.2,
         )
-        await retry_until_accepted(self.world, lambda label: self.world.submit(body, label))
-        if self._random.random() < 0.2:
-            spawn(self._cancel_later(number, self._random.uniform(0.0, 8.0)))
 
     async def _cancel_later(self, number: int, delay_s: float) -> None:
         await asyncio.sleep(delay_s)
