The test of a cancelled job's lost start waits for the cloud's answer to the deletion

It failed with the warm standby on: it asserted that the job had ended in the instant in which the cloud carried out the deletion, while its answer was under way. The attempts may be released only after that answer. Traced: deletion at 16.000 s, attempts released at 16.001 s, job gone at 16.004 s. The test now also asserts that the job does not end before the deletion, and that it ends within a second after it.

--- a/tests/scenarios/test_lost_starts.py
+++ b/tests/scenarios/test_lost_starts.py
@@ -175,6 +175,8 @@
     assert (await world.cancel()).status == 200
     await asyncio.sleep(2.5)
     world.network.filters.clear()
-    await world.until(lambda: not first & set(world.cloud.hosts), 40)
-    assert "job-000001" not in world.active().job_queue.jobs
+    jobs = world.active().job_queue.jobs
+    await world.until(lambda: not first & set(world.cloud.hosts) or "job-000001" not in jobs, 40)
+    assert not first & set(world.cloud.hosts), "the job ended, although the call may take effect"
+    await world.until(lambda: "job-000001" not in jobs, 1.0)  # the cloud confirms the deletion
     assert world.cloud.starts == []
